Add the build, the inner protocol and the package interfaces

Cause: a new project; several people start from the same interfaces. Before: nothing. Conclusion: interfaces in headers first, implementations by package.

--- /dev/null
+++ b/include/pomelohoist/config.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+/// All tunable constants of the library. Settings files override those that a deployment may change.
+namespace pomelohoist::config {
+
+using namespace std::chrono_literals;
+
+// Inner protocol.
+inline constexpr std::uint8_t protocol_version = 1;
+inline constexpr std::size_t max_datagram_bytes = 1400;
+inline constexpr std::size_t max_frame_bytes = 16U << 20U;
+inline constexpr std::uint32_t datagram_attempts = 3;
+inline constexpr std::uint32_t datagram_workers = 4;
+inline constexpr std::size_t max_pending_datagrams = 4096;
+inline constexpr std::uint16_t max_stream_connections = 1024;
+inline constexpr std::chrono::milliseconds reserve_timeout{150};
+inline constexpr std::chrono::milliseconds cancel_timeout{450};
+inline constexpr std::chrono::milliseconds connect_timeout{500};
+inline constexpr std::chrono::milliseconds status_timeout{600};
+
+// Tickets.
+inline constexpr std::chrono::milliseconds ticket_lifetime{2000};
+inline constexpr std::size_t max_remembered_tickets = 65536;
+inline constexpr std::chrono::minutes completed_answer_lifetime{10};
+inline constexpr std::size_t max_completed_answers = 1024;
+
+// Routing and retries.
+inline constexpr std::size_t reserve_candidates = 3;
+inline constexpr std::uint32_t max_attempts = 4;
+inline constexpr double retry_budget_share = 0.2;
+inline constexpr double retry_budget_reserve = 10.0;
+inline constexpr std::chrono::milliseconds retry_backoff_base{20};
+inline constexpr std::chrono::milliseconds retry_backoff_cap{500};
+inline constexpr std::chrono::milliseconds default_request_deadline{60000};
+
+// Crash suspects.
+inline constexpr std::uint32_t quarantine_deaths = 2;
+inline constexpr std::chrono::minutes suspect_lifetime{10};
+inline constexpr std::chrono::milliseconds suspect_publish_timeout{150};
+
+// Configuration spread.
+inline constexpr std::chrono::milliseconds announce_interval{250};
+inline constexpr std::size_t announce_peers = 2;
+inline constexpr double store_polls_per_second = 50.0;
+inline constexpr std::chrono::milliseconds min_store_poll_interval{500};
+inline constexpr std::size_t max_recent_deltas = 256;
+inline constexpr std::uint64_t snapshot_interval_versions = 128;
+
+// Leases.
+inline constexpr std::chrono::milliseconds lease_lifetime{3000};
+inline constexpr std::chrono::milliseconds lease_margin{500};
+
+// Store access.
+inline constexpr std::chrono::milliseconds store_timeout{1000};
+inline constexpr std::uint32_t breaker_failures = 5;
+inline constexpr std::chrono::milliseconds breaker_open_time{5000};
+
+// Callers' HTTP.
+inline constexpr std::size_t max_header_fields = 100;
+inline constexpr std::size_t max_body_bytes = 4U << 20U;
+inline constexpr std::chrono::milliseconds body_read_timeout{10000};
+inline constexpr std::uint16_t max_entry_connections = 1024;
+
+// Shutdown.
+inline constexpr std::chrono::milliseconds shutdown_grace{60000};
+
+} // namespace pomelohoist::config
--- /dev/null
+++ b/makefile
@@ -0,0 +1,34 @@
+# Entry points of the project. Everything is built below .build/.
+
+build_dir := .build/release
+jobs ?= $(shell nproc)
+SEEDS ?= 10
+SEED_BASE ?= 1
+
+.PHONY: all packages build test lint format format-check clean
+
+all: build
+
+packages:
+	bash scripts/install_packages.sh
+
+$(build_dir)/build.ninja:
+	cmake -S . -B $(build_dir) -G Ninja -DCMAKE_BUILD_TYPE=Release
+
+build: packages $(build_dir)/build.ninja
+	cmake --build $(build_dir) -j $(jobs)
+
+test: build
+	ctest --test-dir $(build_dir) --output-on-failure -j 4
+
+lint: build
+	bash scripts/check_lint.sh
+
+format:
+	git ls-files '*.h' '*.cpp' | xargs -r clang-format -i
+
+format-check:
+	bash scripts/check_format.sh
+
+clean:
+	rm -rf .build
--- /dev/null
+++ b/src/common/digest.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// Digests by libraries: SHA-256 (POCO) where collisions must not be found, XXH3 for hashing.
+namespace pomelohoist {
+
+/// @returns SHA-256 as 64 lower-case hexadecimal digits
+std::string sha256_hex(std::string_view text);
+
+/// @returns XXH3 of the text, the same on every host
+std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/declaration/configuration.h
@@ -0,0 +1,201 @@
+#pragma once
+
+#include <pomelohoist/error.h>
+#include <pomelohoist/types.h>
+
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/// Declared objects, changes to them, and the immutable snapshot that the daemons work from.
+namespace pomelohoist {
+
+enum class object_kind : std::uint8_t { workspace, application, endpoint, selector, count };
+
+/// @returns "workspace", "application", "endpoint" or "selector"
+std::string_view to_string(object_kind kind);
+/// @returns the kind with that name, or nothing
+std::optional<object_kind> parse_object_kind(std::string_view name);
+
+/// Identifies a declared object.
+struct object_key {
+    object_kind kind{object_kind::count};
+    std::string name;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->kind, this->name); }
+    friend auto operator<=>(const object_key&, const object_key&) = default;
+};
+
+/// Fields of a declared object by key. A label X is the key "label.X".
+struct object_fields {
+    std::map<std::string, std::string> values;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->values); }
+    friend bool operator==(const object_fields&, const object_fields&) = default;
+};
+
+using object_map = std::map<object_key, object_fields>;
+
+/// Sets or removes one field, provided that it still has the value that the operator saw.
+struct patch {
+    object_key object;
+    std::string key;                     ///< empty: the object as a whole (created without fields, or removed)
+    std::optional<std::string> expected; ///< value before the change, nothing when the field was absent
+    std::optional<std::string> value;    ///< value after the change, nothing to remove the field
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->object, this->key, this->expected, this->value);
+    }
+    friend bool operator==(const patch&, const patch&) = default;
+};
+
+/// What one operator's command changes at once.
+struct configuration_change {
+    std::string id; ///< random, resolves a lost answer of the store
+    std::vector<patch> patches;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->id, this->patches); }
+    friend bool operator==(const configuration_change&, const configuration_change&) = default;
+};
+
+/// An accepted change with the version that it made.
+struct configuration_delta {
+    std::uint64_t version{0};
+    configuration_change change;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->version, this->change); }
+    friend bool operator==(const configuration_delta&, const configuration_delta&) = default;
+};
+
+/// Conditions `label = value`, joined by "and"; without conditions it matches everything.
+struct label_selector {
+    struct condition {
+        std::string label;
+        std::string value;
+        bool negated{false}; ///< written `label!=value`
+
+        friend bool operator==(const condition&, const condition&) = default;
+    };
+    std::vector<condition> conditions;
+
+    /// @param text "a=b,c!=d", or "*" for everything
+    static result<label_selector> parse(const std::string& text);
+    [[nodiscard]] bool matches(const object_fields& fields) const;
+    friend bool operator==(const label_selector&, const label_selector&) = default;
+};
+
+struct workspace {
+    std::string name;
+    std::string key_sha256; ///< hexadecimal digest of the bearer key
+    double weight{1.0};     ///< share in the fair order
+    friend bool operator==(const workspace&, const workspace&) = default;
+};
+
+struct application {
+    std::string name;
+    priority importance{priority::normal};
+    bool idempotent{true};
+    std::uint32_t deadline_ms{0}; ///< 0 for the default
+    friend bool operator==(const application&, const application&) = default;
+};
+
+enum class endpoint_kind : std::uint8_t { model, service, count };
+
+struct endpoint {
+    std::string name;
+    endpoint_kind kind{endpoint_kind::model};
+    net_address agent; ///< inner address of the agent beside it (UDP and TCP)
+    std::string data_centre;
+    std::string host;   ///< as in the platform's host list
+    std::string serves; ///< name of the model, or of the service
+    std::string group;  ///< expert-parallel group, empty for none
+    std::uint32_t rank{0};
+    bool checks_fencing{false};
+    friend bool operator==(const endpoint&, const endpoint&) = default;
+};
+
+struct selector {
+    std::string name;
+    label_selector workspaces;
+    label_selector applications;
+    label_selector endpoints;
+    friend bool operator==(const selector&, const selector&) = default;
+};
+
+/// Why an endpoint may or may not be reached.
+struct reach_explanation {
+    std::string endpoint;
+    bool reachable{false};
+    std::string reason; ///< the selector that allows it, or the nearest selector and its first unmet condition
+
+    friend bool operator==(const reach_explanation&, const reach_explanation&) = default;
+};
+
+/// One version of all declarations. Immutable.
+class configuration {
+  public:
+    /// Version 0, without objects.
+    configuration() = default;
+
+    /// Builds the typed views.
+    /// @returns the configuration, or `invalid_declaration` with one line for each error
+    static result<configuration> build(std::uint64_t version, object_map objects);
+
+    /// @returns the configuration after the change, `conflict` naming object and key when a field no longer has its
+    /// expected value, or `invalid_declaration`
+    [[nodiscard]] result<configuration> apply(const configuration_delta& delta) const;
+
+    [[nodiscard]] std::uint64_t version() const;
+    [[nodiscard]] const object_map& objects() const;
+
+    /// @param digest SHA-256 of a bearer key in hexadecimal
+    /// @returns the workspace, or null
+    [[nodiscard]] const workspace* find_workspace_by_key(const std::string& digest) const;
+    [[nodiscard]] const workspace* find_workspace(const std::string& name) const;
+    [[nodiscard]] const application* find_application(const std::string& name) const;
+    [[nodiscard]] endpoint_handle find_endpoint(const std::string& name) const;
+    /// @attention `handle` must be valid and of this snapshot
+    [[nodiscard]] const endpoint& at(endpoint_handle handle) const;
+    [[nodiscard]] const std::vector<endpoint>& endpoints() const;
+    /// @returns true when an endpoint of this kind serves the name, for any workspace
+    [[nodiscard]] bool is_served(endpoint_kind kind, const std::string& serves) const;
+
+    /// @returns the endpoints that a selector lets the workspace and application reach, ascending
+    [[nodiscard]] std::vector<endpoint_handle> reachable(const std::string& workspace_name,
+                                                         const std::string& application_name, endpoint_kind kind,
+                                                         const std::string& serves) const;
+    /// @returns true when some selector lets the workspace and application reach the endpoint
+    [[nodiscard]] bool may_reach(const std::string& workspace_name, const std::string& application_name,
+                                 const std::string& endpoint_name) const;
+    /// @returns one line for each endpoint
+    [[nodiscard]] std::vector<reach_explanation> explain(const std::string& workspace_name,
+                                                         const std::string& application_name) const;
+
+    friend bool operator==(const configuration& left, const configuration& right) {
+        return left.version_number == right.version_number && left.all_objects == right.all_objects;
+    }
+
+  private:
+    std::uint64_t version_number{0};
+    object_map all_objects;
+    std::vector<workspace> workspace_list;
+    std::unordered_map<std::string, std::uint32_t> workspace_by_name;
+    std::unordered_map<std::string, std::uint32_t> workspace_by_key;
+    std::map<std::string, application> application_by_name;
+    std::vector<endpoint> endpoint_list;
+    std::unordered_map<std::string, std::uint32_t> endpoint_by_name;
+    std::vector<selector> selector_list;
+};
+
+using configuration_ptr = std::shared_ptr<const configuration>;
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/inner/codec.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "inner/messages.h"
+
+#include <pomelohoist/config.h>
+#include <pomelohoist/error.h>
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <exception>
+#include <sstream>
+#include <string>
+
+/// Serialization of messages by cereal's portable binary archive.
+namespace pomelohoist::inner {
+
+/// @returns the serialized message
+template <class Message> std::string encode(const Message& message) {
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive{stream};
+        archive(message);
+    }
+    return std::move(stream).str();
+}
+
+/// @returns the message, or `bad_request` when the bytes have another form
+template <class Message> result<Message> decode(const std::string& bytes) {
+    try {
+        std::istringstream stream{bytes};
+        cereal::PortableBinaryInputArchive archive{stream};
+        Message message;
+        archive(message);
+        return message;
+    } catch (const std::exception& error) {
+        return failure{error_kind::bad_request, std::string{"malformed message: "} + error.what()};
+    }
+}
+
+/// Decodes the body of a packet of the type that is expected.
+/// @returns the message; `failure_reply` comes back as its failure
+template <class Message> result<Message> decode_body(const packet& received) {
+    if (received.type == message_type::failure_reply) {
+        const result<failure_reply> reply = decode<failure_reply>(received.body);
+        if (!reply) {
+            return reply.last_error();
+        }
+        return failure{reply->kind, reply->reason};
+    }
+    if (received.type != Message::type) {
+        return failure{error_kind::bad_request, "unexpected message type"};
+    }
+    return decode<Message>(received.body);
+}
+
+/// Content of a packet before it has a call number.
+struct payload {
+    message_type type{message_type::failure_reply};
+    std::string body;
+
+    friend bool operator==(const payload&, const payload&) = default;
+};
+
+/// @returns the message as the content of a packet
+template <class Message> payload to_payload(const Message& message) {
+    return {Message::type, encode(message)};
+}
+
+} // namespace pomelohoist::inner
--- /dev/null
+++ b/src/inner/frame_channel.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "inner/codec.h"
+
+#include <pomelohoist/error.h>
+#include <pomelohoist/types.h>
+
+#include <Poco/Net/StreamSocket.h>
+
+#include <chrono>
+#include <string>
+
+/// A TCP connection that carries packets as frames of a 4-byte big-endian length and a body.
+namespace pomelohoist::inner {
+
+class frame_channel {
+  public:
+    /// @param connected an open connection
+    /// @param process_name sent with each packet
+    frame_channel(const Poco::Net::StreamSocket& connected, std::string process_name);
+
+    /// Connects to another process.
+    /// @returns the channel, or `unreachable`
+    static result<frame_channel> connect(const net_address& target, const std::string& process_name,
+                                         std::chrono::milliseconds timeout);
+
+    /// Sends one message.
+    /// @returns done, or `unreachable` when the connection is broken
+    template <class Message> result<done> send(const Message& message) { return this->write(to_payload(message)); }
+    result<done> write(const payload& content);
+
+    /// Receives one packet.
+    /// @returns the packet; `timeout` when nothing came in time, `unreachable` when the connection is broken
+    result<packet> receive(std::chrono::milliseconds timeout);
+
+    /// @returns true when the peer has closed or broken the connection
+    /// @attention must not be called while the peer may send
+    bool is_closed_by_peer();
+
+    /// Breaks the connection, also under a thread that waits in `receive`.
+    void abort();
+
+  private:
+    result<done> read_exactly(char* target, std::size_t length, std::chrono::milliseconds timeout);
+
+    Poco::Net::StreamSocket socket;
+    std::string name;
+};
+
+/// Sends one request on a connection of its own and receives one reply.
+template <class Reply, class Request> result<Reply> call_stream(const net_address& target,
+                                                                const std::string& process_name, const Request& request,
+                                                                std::chrono::milliseconds timeout) {
+    result<frame_channel> channel = frame_channel::connect(target, process_name, timeout);
+    if (!channel) {
+        return channel.last_error();
+    }
+    const result<done> sent = channel->send(request);
+    if (!sent) {
+        return sent.last_error();
+    }
+    const result<packet> reply = channel->receive(timeout);
+    if (!reply) {
+        return reply.last_error();
+    }
+    return decode_body<Reply>(*reply);
+}
+
+} // namespace pomelohoist::inner
--- /dev/null
+++ b/src/inner/messages.h
@@ -0,0 +1,359 @@
+#pragma once
+
+#include <pomelohoist/error.h>
+#include <pomelohoist/types.h>
+
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Messages between the system's own processes. All durations are in milliseconds.
+namespace pomelohoist::inner {
+
+enum class message_type : std::uint8_t {
+    failure_reply,
+    reserve_request,
+    reserve_reply,
+    cancel_request,
+    cancel_reply,
+    outcome_request,
+    outcome_reply,
+    run_request,
+    run_head,
+    run_chunk,
+    run_end,
+    run_refused,
+    announce,
+    announce_reply,
+    pull_request,
+    pull_reply,
+    suspect_report,
+    suspect_ack,
+    status_request,
+    status_reply,
+    switch_prepare,
+    switch_vote,
+    switch_decision,
+    switch_query,
+    switch_state,
+    count
+};
+
+/// The frame around every message, on UDP and TCP alike.
+struct packet {
+    std::uint8_t protocol_version{0};
+    message_type type{message_type::failure_reply};
+    std::uint64_t call{0}; ///< number chosen by the caller and repeated by the reply
+    bool is_reply{false};
+    std::string sender; ///< name of the sending process
+    std::string body;   ///< serialized message
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->protocol_version, this->type, this->call, this->is_reply, this->sender, this->body);
+    }
+    friend bool operator==(const packet&, const packet&) = default;
+};
+
+/// Reply to a call that the receiver cannot serve.
+struct failure_reply {
+    static constexpr message_type type = message_type::failure_reply;
+    error_kind kind{error_kind::internal};
+    std::string reason;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->kind, this->reason); }
+    friend bool operator==(const failure_reply&, const failure_reply&) = default;
+};
+
+/// Asks an agent for a ticket.
+struct reserve_request {
+    static constexpr message_type type = message_type::reserve_request;
+    std::string request_id;
+    std::string workspace;
+    std::string application;
+    std::uint64_t configuration_version{0};
+    net_address sender_address; ///< inner address of the entry, for a pull by the agent
+    std::string digest;         ///< hexadecimal digest of workspace and body, identifies a resent request
+    std::uint64_t prefix_hash{0};
+    std::uint32_t prompt_tokens{0};
+    std::uint32_t max_output_tokens{0};
+    priority importance{priority::normal};
+    std::uint32_t deadline_ms{0}; ///< time that is left for the request
+    bool idempotent{true};
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->request_id, this->workspace, this->application, this->configuration_version, this->sender_address,
+                this->digest, this->prefix_hash, this->prompt_tokens, this->max_output_tokens, this->importance,
+                this->deadline_ms, this->idempotent);
+    }
+    friend bool operator==(const reserve_request&, const reserve_request&) = default;
+};
+
+/// What an agent offers with a ticket.
+struct offer {
+    ticket granted;
+    std::uint32_t expected_wait_ms{0};        ///< time in the queue before the endpoint starts
+    std::uint32_t expected_first_token_ms{0}; ///< wait plus prefill of the tokens that are not cached
+    std::uint32_t cached_prefix_tokens{0};
+    std::uint32_t active_requests{0};
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->granted, this->expected_wait_ms, this->expected_first_token_ms, this->cached_prefix_tokens,
+                this->active_requests);
+    }
+    friend bool operator==(const offer&, const offer&) = default;
+};
+
+/// An offer, or the kind of the refusal.
+struct reserve_reply {
+    static constexpr message_type type = message_type::reserve_reply;
+    std::optional<offer> accepted;
+    error_kind refusal{error_kind::internal}; ///< meaningful only without an offer
+    std::string reason;
+    std::uint32_t retry_after_ms{0};
+    std::uint64_t configuration_version{0}; ///< version at the agent
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->accepted, this->refusal, this->reason, this->retry_after_ms, this->configuration_version);
+    }
+    friend bool operator==(const reserve_reply&, const reserve_reply&) = default;
+};
+
+enum class ticket_state : std::uint8_t {
+    not_started, ///< void now, was never run and never will be
+    running,
+    completed,
+    started, ///< was run; its answer is not kept
+    unknown, ///< other incarnation, or not remembered any more
+    count
+};
+
+/// Voids a ticket unless its run has started.
+struct cancel_request {
+    static constexpr message_type type = message_type::cancel_request;
+    ticket target;
+    bool abort_running{false}; ///< also stops a run that has started (idempotent requests only)
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->target, this->abort_running); }
+    friend bool operator==(const cancel_request&, const cancel_request&) = default;
+};
+
+struct cancel_reply {
+    static constexpr message_type type = message_type::cancel_reply;
+    ticket_state state{ticket_state::unknown};
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->state); }
+    friend bool operator==(const cancel_reply&, const cancel_reply&) = default;
+};
+
+/// The HTTP answer of an endpoint, kept or stored as a whole.
+struct stored_answer {
+    std::uint16_t http_status{0};
+    std::string content_type;
+    std::string body;
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->http_status, this->content_type, this->body);
+    }
+    friend bool operator==(const stored_answer&, const stored_answer&) = default;
+};
+
+/// Asks for the outcome of a non-idempotent run; voids the ticket unless its run has started. TCP.
+struct outcome_request {
+    static constexpr message_type type = message_type::outcome_request;
+    ticket target;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->target); }
+    friend bool operator==(const outcome_request&, const outcome_request&) = default;
+};
+
+struct outcome_reply {
+    static constexpr message_type type = message_type::outcome_reply;
+    ticket_state state{ticket_state::unknown};
+    std::optional<stored_answer> answer; ///< only when completed
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->state, this->answer); }
+    friend bool operator==(const outcome_reply&, const outcome_reply&) = default;
+};
+
+/// One field of an HTTP header.
+struct header_field {
+    std::string name;
+    std::string value;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->name, this->value); }
+    friend bool operator==(const header_field&, const header_field&) = default;
+};
+
+/// Presents a ticket. The first frame on its TCP connection.
+struct run_request {
+    static constexpr message_type type = message_type::run_request;
+    ticket granted;
+    reserve_request reservation; ///< must have the digest that the ticket was given for
+    trace_context trace;
+    std::string method; ///< HTTP method towards the endpoint
+    std::string path;   ///< path and query towards the endpoint
+    std::vector<header_field> headers;
+    std::string body;
+    bool keep_answer{false};      ///< the agent keeps the whole answer for `outcome_request`
+    std::uint64_t order_epoch{0}; ///< fencing number, 0 for plain work
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->granted, this->reservation, this->trace, this->method, this->path, this->headers, this->body,
+                this->keep_answer, this->order_epoch);
+    }
+    friend bool operator==(const run_request&, const run_request&) = default;
+};
+
+/// Status and header of the answer.
+struct run_head {
+    static constexpr message_type type = message_type::run_head;
+    ticket granted;
+    std::uint16_t http_status{0};
+    std::vector<header_field> headers;
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->granted, this->http_status, this->headers);
+    }
+    friend bool operator==(const run_head&, const run_head&) = default;
+};
+
+/// A piece of the answer's body.
+struct run_chunk {
+    static constexpr message_type type = message_type::run_chunk;
+    ticket granted;
+    std::uint64_t number{0}; ///< counts from 0
+    std::string data;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->granted, this->number, this->data); }
+    friend bool operator==(const run_chunk&, const run_chunk&) = default;
+};
+
+/// End record. An answer without it is not whole.
+struct run_end {
+    static constexpr message_type type = message_type::run_end;
+    ticket granted;
+    std::uint64_t chunks{0};
+    std::optional<error_kind> failed; ///< set when the run ended early
+    std::string reason;
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->granted, this->chunks, this->failed, this->reason);
+    }
+    friend bool operator==(const run_end&, const run_end&) = default;
+};
+
+/// The ticket was refused: the request was not run by this message.
+struct run_refused {
+    static constexpr message_type type = message_type::run_refused;
+    ticket granted;
+    error_kind kind{error_kind::ticket_refused};
+    std::string reason;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->granted, this->kind, this->reason); }
+    friend bool operator==(const run_refused&, const run_refused&) = default;
+};
+
+/// Versions that the sender has; exchanged between peers.
+struct announce {
+    static constexpr message_type type = message_type::announce;
+    net_address sender_address;
+    std::string data_centre;
+    std::uint64_t configuration_version{0};
+    std::uint64_t host_list_version{0};
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->sender_address, this->data_centre, this->configuration_version, this->host_list_version);
+    }
+    friend bool operator==(const announce&, const announce&) = default;
+};
+
+struct announce_reply {
+    static constexpr message_type type = message_type::announce_reply;
+    std::uint64_t configuration_version{0};
+    std::uint64_t host_list_version{0};
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->configuration_version, this->host_list_version);
+    }
+    friend bool operator==(const announce_reply&, const announce_reply&) = default;
+};
+
+/// Asks for everything newer. TCP.
+struct pull_request {
+    static constexpr message_type type = message_type::pull_request;
+    std::uint64_t configuration_version{0};
+    std::uint64_t host_list_version{0};
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->configuration_version, this->host_list_version);
+    }
+    friend bool operator==(const pull_request&, const pull_request&) = default;
+};
+
+/// Deltas in order, or a snapshot when the deltas are not kept any more.
+struct pull_reply {
+    static constexpr message_type type = message_type::pull_reply;
+    std::uint64_t configuration_version{0};
+    std::vector<std::string> deltas; ///< serialized `configuration_delta`, ascending and without gaps
+    std::string snapshot;            ///< serialized configuration, empty when the deltas suffice
+    std::uint64_t host_list_version{0};
+    std::vector<std::string> leaving_hosts; ///< whole list, when its version is higher than asked
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->configuration_version, this->deltas, this->snapshot, this->host_list_version,
+                this->leaving_hosts);
+    }
+    friend bool operator==(const pull_reply&, const pull_reply&) = default;
+};
+
+/// Requests that were in flight when their endpoint died.
+struct suspect_report {
+    static constexpr message_type type = message_type::suspect_report;
+    std::string event_id;             ///< identifies the death, so that a repeated report counts once
+    std::vector<std::string> digests; ///< as in `reserve_request`
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->event_id, this->digests); }
+    friend bool operator==(const suspect_report&, const suspect_report&) = default;
+};
+
+struct suspect_ack {
+    static constexpr message_type type = message_type::suspect_ack;
+    std::string event_id;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->event_id); }
+    friend bool operator==(const suspect_ack&, const suspect_ack&) = default;
+};
+
+struct status_request {
+    static constexpr message_type type = message_type::status_request;
+    std::uint8_t reserved{0};
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->reserved); }
+    friend bool operator==(const status_request&, const status_request&) = default;
+};
+
+struct status_reply {
+    static constexpr message_type type = message_type::status_reply;
+    std::string name;
+    std::string role; ///< "entry" or "agent"
+    std::string data_centre;
+    std::uint64_t configuration_version{0};
+    std::uint64_t host_list_version{0};
+    std::uint32_t queued{0};
+    std::uint32_t running{0};
+    bool draining{false};
+    bool healthy{false};
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->name, this->role, this->data_centre, this->configuration_version, this->host_list_version,
+                this->queued, this->running, this->draining, this->healthy);
+    }
+    friend bool operator==(const status_reply&, const status_reply&) = default;
+};
+
+} // namespace pomelohoist::inner
--- /dev/null
+++ b/src/platform/object_store.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <pomelohoist/error.h>
+
+#include <optional>
+#include <string>
+
+/// The platform's object store.
+namespace pomelohoist {
+
+class object_store {
+  public:
+    virtual ~object_store() = default;
+    /// @returns the object, nothing inside when it does not exist, or `store_unavailable`
+    virtual result<std::optional<std::string>> get_object(const std::string& name) = 0;
+    /// @returns done, or `store_unavailable`
+    virtual result<done> put_object(const std::string& name, const std::string& content) = 0;
+};
+
+} // namespace pomelohoist
--- /dev/null
+++ b/tests/inner/datagram_endpoint_test.cpp
@@ -0,0 +1,80 @@
+#include "inner/datagram_endpoint.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+namespace pomelohoist::inner {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto call_timeout = 3000ms;
+
+class echo_handler : public datagram_handler {
+  public:
+    payload handle_datagram(const packet& request) override {
+        ++this->calls;
+        const result<cancel_request> decoded = decode_body<cancel_request>(request);
+        if (!decoded) {
+            return to_payload(failure_reply{decoded.last_error().kind, decoded.last_error().reason});
+        }
+        return to_payload(cancel_reply{decoded->abort_running ? ticket_state::started : ticket_state::not_started});
+    }
+
+    std::atomic<int> calls{0};
+};
+
+class datagram_endpoint_test : public testing::Test {
+  protected:
+    datagram_endpoint_test() {
+        this->server.start(&this->handler);
+        this->client.start(nullptr);
+    }
+
+    system_clock time;
+    echo_handler handler;
+    datagram_endpoint server{{"127.0.0.1", 0}, "server", time};
+    datagram_endpoint client{{"127.0.0.1", 0}, "client", time};
+};
+
+// Guards against replies that reach another call than their own.
+TEST_F(datagram_endpoint_test, replies_reach_their_own_calls) {
+    const net_address target = this->server.local_address();
+    std::vector<datagram_call> calls;
+    for (std::uint64_t i = 0; i < 50; ++i) {
+        calls.push_back({target, to_payload(cancel_request{{1, i}, i % 2 == 0})});
+    }
+    const auto replies = this->client.call_all(calls, call_timeout);
+    for (std::size_t i = 0; i < replies.size(); ++i) {
+        ASSERT_TRUE(replies[i]) << replies[i].last_error().reason;
+        const result<cancel_reply> reply = decode_body<cancel_reply>(*replies[i]);
+        ASSERT_TRUE(reply);
+        EXPECT_EQ(reply->state, i % 2 == 0 ? ticket_state::started : ticket_state::not_started);
+    }
+}
+
+// Guards against a caller that waits for ever for a process that is gone.
+TEST_F(datagram_endpoint_test, reports_timeout_of_a_closed_port) {
+    net_address closed;
+    {
+        datagram_endpoint gone{{"127.0.0.1", 0}, "gone", this->time};
+        closed = gone.local_address();
+    }
+    const auto reply = call_datagram<cancel_reply>(this->client, closed, cancel_request{}, 60ms);
+    ASSERT_FALSE(reply);
+    EXPECT_EQ(reply.last_error().kind, error_kind::timeout);
+}
+
+// Guards against a crash of the receiver on bytes that are not a message.
+TEST_F(datagram_endpoint_test, survives_malformed_datagrams) {
+    Poco::Net::DatagramSocket raw{Poco::Net::SocketAddress{"127.0.0.1", 0}};
+    const net_address target = this->server.local_address();
+    const std::string noise(200, '\xff');
+    raw.sendTo(noise.data(), static_cast<int>(noise.size()), Poco::Net::SocketAddress{target.ip, target.port});
+    const auto reply = call_datagram<cancel_reply>(this->client, target, cancel_request{}, call_timeout);
+    EXPECT_TRUE(reply);
+}
+
+} // namespace
+} // namespace pomelohoist::inner
