--- a/makefile
+++ b/makefile
@@ -5,7 +5,7 @@
 SEEDS ?= 10
 SEED_BASE ?= 1
 
-.PHONY: all packages build test lint format format-check clean
+.PHONY: all packages build test models lint format format-check clean
 
 all: build
 
@@ -21,6 +21,9 @@
 test: build
 	ctest --test-dir $(build_dir) --output-on-failure -j 4
 
+models: packages
+	bash scripts/check_models.sh
+
 lint: build
 	bash scripts/check_lint.sh
 
