Add test support for starting the whole path in processes

Cause: demo, failure tests and benchmarks all start and stop the same programs. Ruled out: a shell script for the demo, which could not check streams or share code with the failure tests. Before: none. Conclusion: one library, tests/support, for all of them.

--- /dev/null
+++ b/tests/support/deployment.cpp
@@ -0,0 +1,205 @@
+#include "support/deployment.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <utility>
+
+namespace pomelohoist::test_support {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Long enough for a slow machine; a start takes some ten milliseconds.
+constexpr auto start_timeout = 20s;
+constexpr auto command_timeout = 40s;
+constexpr auto stop_timeout = 30s;
+
+/// Reads "inner=IP:PORT http=IP:PORT".
+void read_addresses(const std::string& line, running_program& into) {
+    std::istringstream words{line};
+    std::string word;
+    while (words >> word) {
+        const auto equals = word.find('=');
+        const auto address = net_address::parse(word.substr(equals + 1));
+        if (equals == std::string::npos || !address) {
+            continue;
+        }
+        if (word.substr(0, equals) == "http") {
+            into.http = *address;
+        } else if (word.substr(0, equals) == "inner") {
+            into.inner = *address;
+        }
+    }
+}
+
+} // namespace
+
+deployment::deployment(std::string binaries, std::string work)
+    : binary_folder(std::move(binaries)), folder(std::move(work)) {
+    std::filesystem::create_directories(this->folder);
+}
+
+std::unique_ptr<child_process> deployment::start(const std::string& binary, const std::string& name,
+                                                 const std::vector<std::string>& arguments, running_program& into) {
+    auto child = std::make_unique<child_process>(this->binary_folder + "/" + binary, arguments,
+                                                 this->folder + "/" + name + ".log");
+    const auto ready = child->wait_ready(start_timeout);
+    if (!ready) {
+        throw std::runtime_error(name + " did not start, see " + this->folder + "/" + name + ".log");
+    }
+    read_addresses(*ready, into);
+    into.name = name;
+    return child;
+}
+
+running_program& deployment::start_platform(const std::vector<std::string>& arguments) {
+    std::vector<std::string> words = arguments;
+    words.insert(words.begin(), {"--listen", "127.0.0.1:0"});
+    this->platform_program.process = this->start("standin-platform", "platform", words, this->platform_program);
+    return this->platform_program;
+}
+
+running_program& deployment::start_entry(const std::string& name, const std::string& data_centre) {
+    std::ostringstream text;
+    text << "[process]\nname = " << name << "\ndata_centre = " << data_centre << "\nhost = " << name << "\n"
+         << "[http]\naddress = 127.0.0.1:0\n[inner]\naddress = 127.0.0.1:0\n"
+         << "[platform]\naddress = " << this->platform_program.http.to_string() << "\n"
+         << "[peers]\nseeds = " << this->seed_addresses() << "\n"
+         << "[log]\nformat = json\n[trace]\nfile = " << this->folder << "/" << name << ".spans.json\n";
+    const std::string settings = this->write_file(name + ".ini", text.str());
+    running_program& entry = this->entry_programs.emplace_back();
+    entry.process = this->start("pomelohoist-entry", name, {"--config", settings}, entry);
+    return entry;
+}
+
+running_endpoint& deployment::start_endpoint(const endpoint_options& options) {
+    auto endpoint = std::make_unique<running_endpoint>();
+    endpoint->options = options;
+    if (endpoint->options.host.empty()) {
+        endpoint->options.host = options.name;
+    }
+    endpoint->standin.http = {"127.0.0.1", 0};
+    this->restart_standin(*endpoint);
+    this->start_agent(*endpoint, "127.0.0.1:0");
+    this->endpoint_programs.push_back(std::move(endpoint));
+    return *this->endpoint_programs.back();
+}
+
+void deployment::restart_standin(running_endpoint& endpoint) {
+    std::vector<std::string> words = endpoint.options.standin_arguments;
+    words.insert(words.begin(), {"--listen", endpoint.standin.http.to_string()});
+    if (endpoint.options.kind == "model") {
+        words.insert(words.end(), {"--model", endpoint.options.serves});
+    }
+    endpoint.standin.process.reset();
+    const std::string binary = endpoint.options.kind == "model" ? "standin-engine" : "standin-service";
+    endpoint.standin.process = this->start(binary, endpoint.options.name + "-standin", words, endpoint.standin);
+}
+
+void deployment::restart_agent(running_endpoint& endpoint) {
+    endpoint.agent.process.reset();
+    this->start_agent(endpoint, endpoint.agent.inner.to_string());
+}
+
+void deployment::start_agent(running_endpoint& endpoint, const std::string& inner_address) {
+    const endpoint_options& options = endpoint.options;
+    const std::string name = options.name + "-agent";
+    std::ostringstream text;
+    text << "[process]\nname = " << name << "\ndata_centre = " << options.data_centre << "\nhost = " << options.host
+         << "\n[inner]\naddress = " << inner_address << "\n"
+         << "[endpoint]\nname = " << options.name << "\nkind = " << options.kind
+         << "\naddress = " << endpoint.standin.http.to_string() << "\n"
+         << "[platform]\naddress = " << this->platform_program.http.to_string() << "\n"
+         << "[peers]\nseeds = " << this->seed_addresses() << "\n"
+         << "[log]\nformat = json\n[trace]\nfile = " << this->folder << "/" << name << ".spans.json\n";
+    const std::string settings = this->write_file(name + ".ini", text.str());
+    endpoint.agent.process = this->start("pomelohoist-agent", name, {"--config", settings}, endpoint.agent);
+}
+
+std::string deployment::seed_addresses() const {
+    std::string seeds;
+    for (const auto& endpoint : this->endpoint_programs) {
+        seeds += (seeds.empty() ? "" : ",") + endpoint->agent.inner.to_string();
+    }
+    return seeds;
+}
+
+std::string deployment::endpoint_declarations() const {
+    std::ostringstream text;
+    for (const auto& endpoint : this->endpoint_programs) {
+        const endpoint_options& options = endpoint->options;
+        text << "[endpoint." << options.name << "]\nkind = " << options.kind
+             << "\nagent = " << endpoint->agent.inner.to_string() << "\ndata_centre = " << options.data_centre
+             << "\nhost = " << options.host << "\nserves = " << options.serves << "\n";
+        if (!options.group.empty()) {
+            text << "group = " << options.group << "\nrank = " << options.rank << "\n";
+        }
+        text << options.labels << "\n";
+    }
+    return text.str();
+}
+
+process_outcome deployment::operate(std::vector<std::string> arguments) {
+    arguments.insert(arguments.end(), {"--platform", this->platform_program.http.to_string()});
+    const auto outcome =
+        run_program(this->binary_folder + "/pomelohoist", arguments, this->folder + "/operator.log", command_timeout);
+    return outcome.value_or(process_outcome{});
+}
+
+process_outcome deployment::apply(const std::string& declarations) {
+    const std::string name = "declarations-" + std::to_string(++this->applied_files) + ".ini";
+    return this->operate({"apply", this->write_file(name, declarations), "--wait"});
+}
+
+running_program& deployment::platform() {
+    return this->platform_program;
+}
+
+std::vector<running_program>& deployment::entries() {
+    return this->entry_programs;
+}
+
+std::vector<std::unique_ptr<running_endpoint>>& deployment::endpoints() {
+    return this->endpoint_programs;
+}
+
+const std::string& deployment::work_folder() const {
+    return this->folder;
+}
+
+std::string deployment::write_file(const std::string& name, const std::string& content) {
+    std::string path = this->folder + "/" + name;
+    std::ofstream{path} << content;
+    return path;
+}
+
+std::vector<std::string> deployment::stop_all() {
+    std::vector<std::string> failed;
+    const auto stop = [&failed](running_program& program) {
+        if (!program.process) {
+            return;
+        }
+        program.process->terminate();
+        const auto outcome = program.process->wait(stop_timeout);
+        if (!outcome || outcome->exit_status != 0) {
+            failed.push_back(program.name);
+        }
+        program.process.reset();
+    };
+    for (running_program& entry : this->entry_programs) {
+        stop(entry);
+    }
+    for (const auto& endpoint : this->endpoint_programs) {
+        stop(endpoint->agent);
+    }
+    for (const auto& endpoint : this->endpoint_programs) {
+        stop(endpoint->standin);
+    }
+    stop(this->platform_program);
+    return failed;
+}
+
+} // namespace pomelohoist::test_support
--- /dev/null
+++ b/tests/support/deployment.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "support/child_process.h"
+#include "support/http_client.h"
+
+#include <pomelohoist/types.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+/// The whole path in separate processes: platform, entries, agents, endpoints.
+namespace pomelohoist::test_support {
+
+/// How one endpoint and its agent are started.
+struct endpoint_options {
+    std::string name;
+    std::string kind{"model"}; ///< model or service
+    std::string serves;
+    std::string group;
+    std::uint32_t rank{0};
+    std::string data_centre{"dc-1"};
+    std::string host;   ///< empty: same as the name
+    std::string labels; ///< lines "label.KEY = VALUE"
+    std::vector<std::string> standin_arguments;
+
+    friend bool operator==(const endpoint_options&, const endpoint_options&) = default;
+};
+
+/// One running program with its addresses.
+struct running_program {
+    std::string name;
+    std::unique_ptr<child_process> process;
+    net_address inner;
+    net_address http;
+};
+
+/// An endpoint stand-in and the agent beside it.
+struct running_endpoint {
+    endpoint_options options;
+    running_program standin;
+    running_program agent;
+};
+
+/// @attention throws std::runtime_error when a program does not start
+class deployment {
+  public:
+    /// @param binaries folder of the programs
+    /// @param work folder for settings and logs; made when missing
+    deployment(std::string binaries, std::string work);
+
+    running_program& start_platform(const std::vector<std::string>& arguments = {});
+    running_program& start_entry(const std::string& name, const std::string& data_centre = "dc-1");
+    running_endpoint& start_endpoint(const endpoint_options& options);
+    /// Starts the agent of an endpoint again, with the same inner address.
+    void restart_agent(running_endpoint& endpoint);
+    /// Starts the stand-in of an endpoint again, with the same address.
+    void restart_standin(running_endpoint& endpoint);
+
+    /// @returns the declarations of all endpoints that were started
+    [[nodiscard]] std::string endpoint_declarations() const;
+
+    /// Runs `pomelohoist` with the platform's address.
+    process_outcome operate(std::vector<std::string> arguments);
+    /// Writes the declarations to a file and runs `pomelohoist apply --wait`.
+    process_outcome apply(const std::string& declarations);
+
+    [[nodiscard]] running_program& platform();
+    [[nodiscard]] std::vector<running_program>& entries();
+    [[nodiscard]] std::vector<std::unique_ptr<running_endpoint>>& endpoints();
+    [[nodiscard]] const std::string& work_folder() const;
+
+    /// Sends SIGTERM to all programs and waits.
+    /// @returns names of the programs that did not end with status 0
+    std::vector<std::string> stop_all();
+
+  private:
+    std::unique_ptr<child_process> start(const std::string& binary, const std::string& name,
+                                         const std::vector<std::string>& arguments, running_program& into);
+    std::string write_file(const std::string& name, const std::string& content);
+    void start_agent(running_endpoint& endpoint, const std::string& inner_address);
+    [[nodiscard]] std::string seed_addresses() const;
+
+    std::string binary_folder;
+    std::string folder;
+    running_program platform_program;
+    std::vector<running_program> entry_programs;
+    std::vector<std::unique_ptr<running_endpoint>> endpoint_programs;
+    int applied_files{0};
+};
+
+} // namespace pomelohoist::test_support
--- /dev/null
+++ b/tests/support/http_client.cpp
@@ -0,0 +1,84 @@
+#include "support/http_client.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Timespan.h>
+
+#include <array>
+#include <istream>
+
+namespace pomelohoist::test_support {
+
+namespace {
+
+constexpr std::size_t read_bytes = 8192;
+constexpr long long microseconds_per_millisecond = 1000;
+constexpr const char* final_chunk_missing = "incomplete";
+
+using steady = std::chrono::steady_clock;
+
+std::chrono::microseconds since(steady::time_point begin) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(steady::now() - begin);
+}
+
+/// Reads the body.
+/// @returns false when the sink closed the connection
+bool read_body(std::istream& stream, http_answer& answer, const body_sink& sink, steady::time_point begin) {
+    std::array<char, read_bytes> buffer{};
+    while (stream.good()) {
+        stream.read(buffer.data(), 1);
+        if (stream.gcount() == 0) {
+            return true;
+        }
+        std::string piece{buffer[0]};
+        const std::streamsize more = stream.readsome(buffer.data(), buffer.size());
+        piece.append(buffer.data(), static_cast<std::size_t>(more));
+        if (answer.body.empty()) {
+            answer.first_byte = since(begin);
+        }
+        answer.body += piece;
+        if (sink && !sink(piece)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+http_answer send_http(const net_address& target, const http_request& request, const body_sink& sink) {
+    http_answer answer;
+    const auto begin = steady::now();
+    try {
+        Poco::Net::HTTPClientSession session{target.ip, target.port};
+        session.setTimeout(Poco::Timespan{request.timeout.count() * microseconds_per_millisecond});
+        Poco::Net::HTTPRequest outgoing{request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1};
+        outgoing.setKeepAlive(false);
+        for (const auto& [name, value] : request.headers) {
+            outgoing.set(name, value);
+        }
+        if (!request.body.empty()) {
+            outgoing.setContentLength(static_cast<std::streamsize>(request.body.size()));
+        }
+        session.sendRequest(outgoing) << request.body << std::flush;
+        Poco::Net::HTTPResponse incoming;
+        std::istream& stream = session.receiveResponse(incoming);
+        for (const auto& [name, value] : incoming) {
+            answer.headers[name] = value;
+        }
+        answer.status = static_cast<std::uint16_t>(incoming.getStatus());
+        const bool whole = read_body(stream, answer, sink, begin);
+        const bool has_length = incoming.hasContentLength();
+        const bool is_short =
+            has_length && answer.body.size() < static_cast<std::size_t>(incoming.getContentLength64());
+        answer.complete = whole && !is_short && !stream.bad() && session.networkException() == nullptr;
+    } catch (const Poco::Exception& error) {
+        answer.headers[final_chunk_missing] = error.displayText();
+    }
+    answer.total = since(begin);
+    return answer;
+}
+
+} // namespace pomelohoist::test_support
