--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -91,9 +91,6 @@
 void deployment::restart_standin(running_endpoint& endpoint) {
     std::vector<std::string> words = endpoint.options.standin_arguments;
     words.insert(words.begin(), {"--listen", endpoint.standin.http.to_string()});
-    if (endpoint.options.kind == "model") {
-        words.insert(words.end(), {"--model", endpoint.options.serves});
-    }
     endpoint.standin.process.reset();
     const std::string binary = endpoint.options.kind == "model" ? "standin-engine" : "standin-service";
     endpoint.standin.process = this->start(binary, endpoint.options.name + "-standin", words, endpoint.standin);
