Implement the common package

The other packages need settings, logs, spans, metrics and the daemon's main function. The INI files are read by Boost.PropertyTree, which keeps the case of keys and reports duplicates; POCO's IniFileConfiguration was ruled out because it ignores case and lets the last duplicate win. The parser stops at its first error and drops empty sections, so the reader replaces the refused line and parses again, and marks each section.

--- /dev/null
+++ b/src/common/ini_file.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+/// INI files by Boost.PropertyTree, read so that every error of a file is found at once.
+namespace pomelohoist {
+
+struct ini_entry {
+    std::string key;
+    std::string value;
+
+    friend bool operator==(const ini_entry&, const ini_entry&) = default;
+};
+
+struct ini_section {
+    std::string name;
+    std::vector<ini_entry> entries;
+
+    friend bool operator==(const ini_section&, const ini_section&) = default;
+};
+
+/// Sections in the order of the file, and one line for each error of syntax or duplicate.
+struct ini_content {
+    std::vector<ini_section> sections;
+    std::vector<std::string> errors;
+
+    friend bool operator==(const ini_content&, const ini_content&) = default;
+};
+
+/// Reads a file. Lines that start with ';' or '#' are comments; a value extends to the end of its line.
+/// @param file path, also named in the errors
+ini_content read_ini_file(const std::string& file);
+
+/// Parses text that was read from `file`.
+ini_content parse_ini(const std::string& file, const std::string& text);
+
+/// @returns "FILE: [SECTION] KEY: REASON"
+std::string ini_error(const std::string& file, const std::string& section, const std::string& key,
+                      const std::string& reason);
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/common/span_http.cpp
@@ -0,0 +1,116 @@
+#include "common/span_json.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/NullStream.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/Timespan.h>
+#include <Poco/URI.h>
+
+#include <condition_variable>
+#include <deque>
+#include <iterator>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+constexpr std::size_t max_queued_spans = 4096;
+constexpr std::size_t max_batch_spans = 256;
+constexpr std::chrono::milliseconds batch_interval{500};
+constexpr Poco::Timespan::TimeDiff request_timeout_us = 1000000;
+
+class http_span_exporter : public span_exporter {
+  public:
+    http_span_exporter(std::string service_name, const std::string& url)
+        : service(std::move(service_name)), target(url), sender([this] { this->send_loop(); }) {}
+
+    ~http_span_exporter() override {
+        {
+            const std::lock_guard lock{this->mutex};
+            this->stopping = true;
+        }
+        this->changed.notify_all();
+        this->sender.join();
+    }
+
+    http_span_exporter(const http_span_exporter&) = delete;
+    http_span_exporter& operator=(const http_span_exporter&) = delete;
+
+    // A full queue drops the span: requests never wait for the collector.
+    void export_span(const span_record& finished) override {
+        const std::lock_guard lock{this->mutex};
+        if (this->queue.size() < max_queued_spans) {
+            this->queue.push_back(finished);
+        }
+        if (this->queue.size() >= max_batch_spans) {
+            this->changed.notify_all();
+        }
+    }
+
+  private:
+    void send_loop() {
+        std::unique_lock lock{this->mutex};
+        while (true) {
+            this->changed.wait_for(lock, batch_interval,
+                                   [this] { return this->stopping || this->queue.size() >= max_batch_spans; });
+            const bool was_stopping = this->stopping;
+            const std::vector<span_record> batch = this->take_batch();
+            lock.unlock();
+            const bool sent = batch.empty() || this->post(batch);
+            lock.lock();
+            // At the end the queue is emptied, unless the collector does not answer.
+            if (was_stopping && (this->queue.empty() || !sent)) {
+                return;
+            }
+        }
+    }
+
+    std::vector<span_record> take_batch() {
+        const std::size_t number = std::min(this->queue.size(), max_batch_spans);
+        const auto end = this->queue.begin() + static_cast<std::ptrdiff_t>(number);
+        std::vector<span_record> batch{std::make_move_iterator(this->queue.begin()), std::make_move_iterator(end)};
+        this->queue.erase(this->queue.begin(), end);
+        return batch;
+    }
+
+    bool post(const std::vector<span_record>& batch) {
+        try {
+            const std::string body = spans_to_json(this->service, batch);
+            Poco::Net::HTTPClientSession session{this->target.getHost(), this->target.getPort()};
+            session.setTimeout(Poco::Timespan{request_timeout_us});
+            const std::string path = this->target.getPathAndQuery().empty() ? "/" : this->target.getPathAndQuery();
+            Poco::Net::HTTPRequest request{Poco::Net::HTTPRequest::HTTP_POST, path, Poco::Net::HTTPRequest::HTTP_1_1};
+            request.setContentType("application/json");
+            request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+            session.sendRequest(request) << body;
+            Poco::Net::HTTPResponse response;
+            Poco::NullOutputStream ignored;
+            Poco::StreamCopier::copyStream(session.receiveResponse(response), ignored);
+            return true;
+        } catch (const Poco::Exception&) {
+            return false;
+        }
+    }
+
+    std::string service;
+    Poco::URI target;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<span_record> queue;
+    bool stopping{false};
+    std::thread sender;
+};
+
+} // namespace
+
+std::unique_ptr<span_exporter> make_http_span_exporter(const std::string& service_name, const std::string& url) {
+    return std::make_unique<http_span_exporter>(service_name, url);
+}
+
+} // namespace pomelohoist
