Implement the declaration package

The index caches lists by the label values that selectors ask for, so its size does not grow with the number of workspaces.

--- a/src/common/metrics.h
+++ b/src/common/metrics.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <tuple>
 #include <vector>
 
 /// Counters, gauges and histograms (Boost.Histogram), rendered in the Prometheus text format.
@@ -57,7 +58,9 @@
     struct metric_key {
         std::string name;
         std::string labels;
-        friend auto operator<=>(const metric_key&, const metric_key&) = default;
+        friend bool operator<(const metric_key& left, const metric_key& right) {
+            return std::tie(left.name, left.labels) < std::tie(right.name, right.labels);
+        }
     };
 
     mutable std::mutex mutex;
--- a/src/declaration/configuration.h
+++ b/src/declaration/configuration.h
@@ -13,7 +13,8 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
+#include <string_view>
+#include <tuple>
 #include <vector>
 
 /// Declared objects, changes to them, and the immutable snapshot that the daemons work from.
@@ -32,7 +33,10 @@
     std::string name;
 
     template <class Archive> void serialize(Archive& archive) { archive(this->kind, this->name); }
-    friend auto operator<=>(const object_key&, const object_key&) = default;
+    friend bool operator==(const object_key&, const object_key&) = default;
+    friend bool operator<(const object_key& left, const object_key& right) {
+        return std::tie(left.kind, left.name) < std::tie(right.kind, right.name);
+    }
 };
 
 /// Fields of a declared object by key. A label X is the key "label.X".
@@ -46,9 +50,11 @@
 using object_map = std::map<object_key, object_fields>;
 
 /// Sets or removes one field, provided that it still has the value that the operator saw.
+/// With an empty key it concerns the object as a whole: with `expected` the object must exist, without it must not;
+/// with `value` it exists afterwards (created without fields), without it is removed with its fields.
 struct patch {
     object_key object;
-    std::string key;                     ///< empty: the object as a whole (created without fields, or removed)
+    std::string key;                     ///< empty: the object as a whole
     std::optional<std::string> expected; ///< value before the change, nothing when the field was absent
     std::optional<std::string> value;    ///< value after the change, nothing to remove the field
 
@@ -140,11 +146,17 @@
     friend bool operator==(const reach_explanation&, const reach_explanation&) = default;
 };
 
+class reach_index;
+struct application_view;
+struct endpoint_view;
+struct selector_view;
+struct workspace_view;
+
 /// One version of all declarations. Immutable.
 class configuration {
   public:
     /// Version 0, without objects.
-    configuration() = default;
+    configuration();
 
     /// Builds the typed views.
     /// @returns the configuration, or `invalid_declaration` with one line for each error
@@ -152,6 +164,7 @@
 
     /// @returns the configuration after the change, `conflict` naming object and key when a field no longer has its
     /// expected value, or `invalid_declaration`
+    /// @attention the delta must have the next version
     [[nodiscard]] result<configuration> apply(const configuration_delta& delta) const;
 
     [[nodiscard]] std::uint64_t version() const;
@@ -185,15 +198,18 @@
     }
 
   private:
+    // Views are shared between snapshots: a change replaces only those that depend on it.
+    struct changed_parts;
+    result<done> rebuild(const changed_parts& changed);
+    [[nodiscard]] const object_fields* fields_of(object_kind kind, const std::string& name) const;
+
     std::uint64_t version_number{0};
     object_map all_objects;
-    std::vector<workspace> workspace_list;
-    std::unordered_map<std::string, std::uint32_t> workspace_by_name;
-    std::unordered_map<std::string, std::uint32_t> workspace_by_key;
-    std::map<std::string, application> application_by_name;
-    std::vector<endpoint> endpoint_list;
-    std::unordered_map<std::string, std::uint32_t> endpoint_by_name;
-    std::vector<selector> selector_list;
+    std::shared_ptr<const workspace_view> workspaces;
+    std::shared_ptr<const application_view> applications;
+    std::shared_ptr<const endpoint_view> endpoint_set;
+    std::shared_ptr<const selector_view> selectors;
+    std::shared_ptr<const reach_index> reach;
 };
 
 using configuration_ptr = std::shared_ptr<const configuration>;
--- /dev/null
+++ b/src/declaration/configuration_views.cpp
@@ -0,0 +1,136 @@
+#include "declaration/configuration_views.h"
+
+#include <algorithm>
+#include <numeric>
+#include <optional>
+
+namespace pomelohoist {
+
+namespace {
+
+std::string value_or(const object_fields& fields, const std::string& key, const std::string& missing) {
+    const auto found = fields.values.find(key);
+    return found == fields.values.end() ? missing : found->second;
+}
+
+std::uint32_t number_or_zero(const object_fields& fields, const std::string& key) {
+    const auto found = fields.values.find(key);
+    return found == fields.values.end() ? 0U : static_cast<std::uint32_t>(std::stoul(found->second));
+}
+
+priority to_priority(const std::string& text) {
+    if (text == "high") {
+        return priority::high;
+    }
+    return text == "low" ? priority::low : priority::normal;
+}
+
+endpoint to_endpoint(const std::string& name, const object_fields& fields) {
+    endpoint made;
+    made.name = name;
+    made.kind = value_or(fields, "kind", "") == "service" ? endpoint_kind::service : endpoint_kind::model;
+    made.agent = net_address::parse(value_or(fields, "agent", "")).value_or(net_address{});
+    made.data_centre = value_or(fields, "data_centre", "");
+    made.host = value_or(fields, "host", "");
+    made.serves = value_or(fields, "serves", "");
+    made.group = value_or(fields, "group", "");
+    made.rank = number_or_zero(fields, "rank");
+    made.checks_fencing = value_or(fields, "fencing", "ignored") == "checked";
+    return made;
+}
+
+label_selector to_label_selector(const object_fields& fields, const std::string& key) {
+    const result<label_selector> parsed = label_selector::parse(value_or(fields, key, "*"));
+    return parsed ? *parsed : label_selector{};
+}
+
+void append_line(std::string& text, const std::string& line) {
+    text += (text.empty() ? "" : "\n") + line;
+}
+
+} // namespace
+
+std::pair<object_map::const_iterator, object_map::const_iterator> objects_of(const object_map& objects,
+                                                                             object_kind kind) {
+    const auto next_kind = static_cast<object_kind>(static_cast<std::uint8_t>(kind) + 1);
+    return {objects.lower_bound({kind, ""}), objects.lower_bound({next_kind, ""})};
+}
+
+result<std::shared_ptr<const workspace_view>> build_workspaces(const object_map& objects) {
+    auto view = std::make_shared<workspace_view>();
+    const auto [begin, end] = objects_of(objects, object_kind::workspace);
+    view->by_name.reserve(static_cast<std::size_t>(std::distance(begin, end)));
+    for (auto object = begin; object != end; ++object) {
+        const auto& [key, fields] = *object;
+        view->by_name.push_back(
+            {key.name, value_or(fields, "key_sha256", ""), std::stod(value_or(fields, "weight", "1"))});
+    }
+    view->by_key.resize(view->by_name.size());
+    std::iota(view->by_key.begin(), view->by_key.end(), 0U);
+    const std::vector<workspace>& list = view->by_name;
+    std::sort(view->by_key.begin(), view->by_key.end(), [&list](std::uint32_t left, std::uint32_t right) {
+        return list[left].key_sha256 < list[right].key_sha256;
+    });
+    std::string errors;
+    for (std::size_t i = 1; i < view->by_key.size(); ++i) {
+        const workspace& left = list[view->by_key[i - 1]];
+        const workspace& right = list[view->by_key[i]];
+        if (left.key_sha256 == right.key_sha256) {
+            append_line(errors, "workspace " + right.name + " key_sha256: is also the key of workspace " + left.name +
+                                    "; allowed is a key of its own");
+        }
+    }
+    if (!errors.empty()) {
+        return failure{error_kind::invalid_declaration, errors};
+    }
+    return std::shared_ptr<const workspace_view>{std::move(view)};
+}
+
+std::shared_ptr<const application_view> build_applications(const object_map& objects) {
+    auto view = std::make_shared<application_view>();
+    const auto [begin, end] = objects_of(objects, object_kind::application);
+    for (auto object = begin; object != end; ++object) {
+        const auto& [key, fields] = *object;
+        view->by_name[key.name] = {key.name, to_priority(value_or(fields, "priority", "normal")),
+                                   value_or(fields, "idempotent", "true") == "true",
+                                   number_or_zero(fields, "deadline_ms")};
+    }
+    return view;
+}
+
+result<std::shared_ptr<const endpoint_view>> build_endpoints(const object_map& objects) {
+    auto view = std::make_shared<endpoint_view>();
+    std::map<std::pair<std::string, std::uint32_t>, std::string> ranks;
+    std::string errors;
+    const auto [begin, end] = objects_of(objects, object_kind::endpoint);
+    for (auto object = begin; object != end; ++object) {
+        endpoint made = to_endpoint(object->first.name, object->second);
+        if (!made.group.empty()) {
+            const auto [known, is_new] = ranks.emplace(std::pair{made.group, made.rank}, made.name);
+            if (!is_new) {
+                append_line(errors, "endpoint " + made.name + " rank: " + std::to_string(made.rank) + " of group " +
+                                        made.group + " is also the rank of endpoint " + known->second +
+                                        "; allowed is a rank of its own");
+            }
+        }
+        view->served.emplace(made.kind, made.serves);
+        view->by_name.push_back(std::move(made));
+    }
+    if (!errors.empty()) {
+        return failure{error_kind::invalid_declaration, errors};
+    }
+    return std::shared_ptr<const endpoint_view>{std::move(view)};
+}
+
+std::shared_ptr<const selector_view> build_selectors(const object_map& objects) {
+    auto view = std::make_shared<selector_view>();
+    const auto [begin, end] = objects_of(objects, object_kind::selector);
+    for (auto object = begin; object != end; ++object) {
+        const auto& [key, fields] = *object;
+        view->by_name.push_back({key.name, to_label_selector(fields, "workspaces"),
+                                 to_label_selector(fields, "applications"), to_label_selector(fields, "endpoints")});
+    }
+    return view;
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/declaration/configuration_views.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "declaration/configuration.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Typed views of the declared objects, shared by the snapshots that do not change them.
+namespace pomelohoist {
+
+/// Workspaces by name, and their order by key. Binary search keeps the index of 15,000 workspaces at 60 KB.
+struct workspace_view {
+    std::vector<workspace> by_name;
+    std::vector<std::uint32_t> by_key;
+
+    friend bool operator==(const workspace_view&, const workspace_view&) = default;
+};
+
+struct application_view {
+    std::map<std::string, application> by_name;
+
+    friend bool operator==(const application_view&, const application_view&) = default;
+};
+
+/// Endpoints by name; a handle is the place in the list.
+struct endpoint_view {
+    std::vector<endpoint> by_name;
+    std::set<std::pair<endpoint_kind, std::string>> served;
+
+    friend bool operator==(const endpoint_view&, const endpoint_view&) = default;
+};
+
+struct selector_view {
+    std::vector<selector> by_name;
+
+    friend bool operator==(const selector_view&, const selector_view&) = default;
+};
+
+/// The builders take objects whose fields were checked.
+/// @returns the view, or `invalid_declaration` when objects contradict each other
+result<std::shared_ptr<const workspace_view>> build_workspaces(const object_map& objects);
+std::shared_ptr<const application_view> build_applications(const object_map& objects);
+result<std::shared_ptr<const endpoint_view>> build_endpoints(const object_map& objects);
+std::shared_ptr<const selector_view> build_selectors(const object_map& objects);
+
+/// @returns the objects of one kind, as a range of the map
+std::pair<object_map::const_iterator, object_map::const_iterator> objects_of(const object_map& objects,
+                                                                             object_kind kind);
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/declaration/reach_index.cpp
@@ -0,0 +1,127 @@
+#include "declaration/reach_index.h"
+
+#include "declaration/object_rules.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+// Bounds the cache at about 1.5 MB with 1,400 endpoints, all reachable. The number of entries needed is the number of
+// different label values that selectors ask for, which is far smaller than the number of workspaces.
+constexpr std::size_t max_cached_lists = 256;
+
+std::vector<std::string> asked_labels(const std::vector<selector>& selectors, label_selector selector::*part) {
+    std::set<std::string> labels;
+    for (const selector& one : selectors) {
+        for (const label_selector::condition& wanted : (one.*part).conditions) {
+            labels.insert(label_prefix + wanted.label);
+        }
+    }
+    return {labels.begin(), labels.end()};
+}
+
+// A character that label values cannot hold separates them, so different values give different keys.
+void append_values(std::string& key, const object_fields& fields, const std::vector<std::string>& labels) {
+    for (const std::string& label : labels) {
+        const auto found = fields.values.find(label);
+        if (found != fields.values.end()) {
+            key += found->second;
+        }
+        key += '\n';
+    }
+}
+
+} // namespace
+
+reach_index::reach_index(std::shared_ptr<const endpoint_view> endpoint_set,
+                         std::shared_ptr<const selector_view> selector_set, const object_map& objects)
+    : endpoints(std::move(endpoint_set)), selectors(std::move(selector_set)),
+      workspace_labels(asked_labels(this->selectors->by_name, &selector::workspaces)),
+      application_labels(asked_labels(this->selectors->by_name, &selector::applications)) {
+    const auto [begin, end] = objects_of(objects, object_kind::endpoint);
+    for (const selector& one : this->selectors->by_name) {
+        std::vector<bool>& matching = this->matching_endpoints.emplace_back();
+        matching.reserve(this->endpoints->by_name.size());
+        for (auto object = begin; object != end; ++object) {
+            matching.push_back(one.endpoints.matches(object->second));
+        }
+    }
+}
+
+std::string reach_index::cache_key(const object_fields& workspace_fields, const object_fields& application_fields,
+                                   endpoint_kind kind, const std::string& serves) const {
+    std::string key;
+    append_values(key, workspace_fields, this->workspace_labels);
+    append_values(key, application_fields, this->application_labels);
+    key += kind == endpoint_kind::model ? 'm' : 's';
+    key += serves;
+    return key;
+}
+
+std::vector<endpoint_handle> reach_index::find(const object_fields& workspace_fields,
+                                               const object_fields& application_fields, endpoint_kind kind,
+                                               const std::string& serves) const {
+    const std::size_t number = this->endpoints->by_name.size();
+    std::vector<bool> is_reached(number, false);
+    for (std::size_t i = 0; i < this->selectors->by_name.size(); ++i) {
+        const selector& one = this->selectors->by_name[i];
+        if (!one.workspaces.matches(workspace_fields) || !one.applications.matches(application_fields)) {
+            continue;
+        }
+        for (std::size_t j = 0; j < number; ++j) {
+            is_reached[j] = is_reached[j] || this->matching_endpoints[i][j];
+        }
+    }
+    std::vector<endpoint_handle> handles;
+    for (std::size_t j = 0; j < number; ++j) {
+        const endpoint& candidate = this->endpoints->by_name[j];
+        if (is_reached[j] && candidate.kind == kind && candidate.serves == serves) {
+            handles.push_back({static_cast<std::uint32_t>(j)});
+        }
+    }
+    return handles;
+}
+
+std::vector<endpoint_handle> reach_index::reachable(const object_fields& workspace_fields,
+                                                    const object_fields& application_fields, endpoint_kind kind,
+                                                    const std::string& serves) const {
+    // Callers choose `serves`; names that nothing serves must not fill the cache.
+    if (!this->endpoints->served.contains({kind, serves})) {
+        return {};
+    }
+    const std::string key = this->cache_key(workspace_fields, application_fields, kind, serves);
+    handle_list known;
+    {
+        const std::lock_guard lock{this->mutex};
+        const auto found = this->cache.find(key);
+        known = found == this->cache.end() ? nullptr : found->second;
+    }
+    if (known) {
+        return *known;
+    }
+    std::vector<endpoint_handle> handles = this->find(workspace_fields, application_fields, kind, serves);
+    const std::lock_guard lock{this->mutex};
+    if (this->cache.size() >= max_cached_lists) {
+        this->cache.clear();
+    }
+    this->cache[key] = std::make_shared<const std::vector<endpoint_handle>>(handles);
+    return handles;
+}
+
+bool reach_index::may_reach(const object_fields& workspace_fields, const object_fields& application_fields,
+                            endpoint_handle target) const {
+    for (std::size_t i = 0; i < this->selectors->by_name.size(); ++i) {
+        const selector& one = this->selectors->by_name[i];
+        if (this->matching_endpoints[i][target.index] && one.workspaces.matches(workspace_fields) &&
+            one.applications.matches(application_fields)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/declaration/reach_index.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "declaration/configuration_views.h"
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/// Which endpoints the selectors let a pair of workspace and application reach.
+namespace pomelohoist {
+
+/// Depends on endpoints and selectors only, so a change of a workspace or an application keeps the index.
+class reach_index {
+  public:
+    reach_index(std::shared_ptr<const endpoint_view> endpoint_set, std::shared_ptr<const selector_view> selector_set,
+                const object_map& objects);
+
+    /// @returns the endpoints of this kind that serve the name and may be reached, ascending
+    [[nodiscard]] std::vector<endpoint_handle> reachable(const object_fields& workspace_fields,
+                                                         const object_fields& application_fields, endpoint_kind kind,
+                                                         const std::string& serves) const;
+    [[nodiscard]] bool may_reach(const object_fields& workspace_fields, const object_fields& application_fields,
+                                 endpoint_handle target) const;
+
+  private:
+    using handle_list = std::shared_ptr<const std::vector<endpoint_handle>>;
+
+    [[nodiscard]] std::string cache_key(const object_fields& workspace_fields, const object_fields& application_fields,
+                                        endpoint_kind kind, const std::string& serves) const;
+    [[nodiscard]] std::vector<endpoint_handle> find(const object_fields& workspace_fields,
+                                                    const object_fields& application_fields, endpoint_kind kind,
+                                                    const std::string& serves) const;
+
+    std::shared_ptr<const endpoint_view> endpoints;
+    std::shared_ptr<const selector_view> selectors;
+    std::vector<std::vector<bool>> matching_endpoints; ///< for each selector
+    std::vector<std::string> workspace_labels;         ///< keys that conditions ask for
+    std::vector<std::string> application_labels;
+
+    mutable std::mutex mutex;
+    mutable std::unordered_map<std::string, handle_list> cache;
+};
+
+} // namespace pomelohoist
--- /dev/null
+++ b/tests/declaration/configuration_test.cpp
@@ -0,0 +1,162 @@
+#include "declaration/configuration.h"
+
+#include "example_objects.h"
+
+#include "declaration/declaration_file.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <malloc.h>
+
+namespace pomelohoist {
+namespace {
+
+using testing::HasSubstr;
+
+constexpr std::size_t megabyte = 1U << 20U;
+
+configuration build(const object_map& objects) {
+    const result<configuration> built = configuration::build(1, objects);
+    EXPECT_TRUE(built) << built.last_error().reason;
+    return built ? *built : configuration{};
+}
+
+patch label_patch(object_kind kind, const std::string& name, const std::string& key, std::optional<std::string> before,
+                  std::optional<std::string> after) {
+    return {{kind, name}, "label." + key, std::move(before), std::move(after)};
+}
+
+std::vector<endpoint_handle> drafts_of(const configuration& now, const std::string& workspace_name) {
+    return now.reachable(workspace_name, "drafts", endpoint_kind::model, "design-llm");
+}
+
+TEST(label_selector_test, parses_and_matches) {
+    const result<label_selector> parsed = label_selector::parse("a=b, c!=d");
+    ASSERT_TRUE(parsed);
+    EXPECT_TRUE(parsed->matches({{{"label.a", "b"}}}));
+    EXPECT_TRUE(parsed->matches({{{"label.a", "b"}, {"label.c", "e"}}}));
+    EXPECT_FALSE(parsed->matches({{{"label.a", "b"}, {"label.c", "d"}}}));
+    EXPECT_FALSE(parsed->matches({{{"a", "b"}}}));
+    EXPECT_TRUE(label_selector::parse("*")->matches({}));
+    for (const std::string bad : {"", "a", "a=", "=b", "a==b", "a=b,", ",a=b", "a=b;c=d", "*,a=b", "a!b", "!=b"}) {
+        EXPECT_FALSE(label_selector::parse(bad)) << bad;
+    }
+}
+
+TEST(configuration_test, finds_objects) {
+    const configuration now = build(make_example_objects(20, 10));
+    EXPECT_EQ(now.find_workspace_by_key(example_digest(7))->name, "workspace-7");
+    EXPECT_EQ(now.find_workspace_by_key(example_digest(20)), nullptr);
+    EXPECT_EQ(now.find_workspace("workspace-19")->weight, 1.5);
+    EXPECT_EQ(now.find_workspace("workspace"), nullptr);
+    EXPECT_EQ(now.at(now.find_endpoint("endpoint-4")).rank, 4U);
+    EXPECT_FALSE(now.find_endpoint("endpoint-99").is_valid());
+    EXPECT_TRUE(now.is_served(endpoint_kind::model, "design-llm"));
+    EXPECT_FALSE(now.is_served(endpoint_kind::service, "design-llm"));
+    EXPECT_TRUE(configuration{}.reachable("a", "b", endpoint_kind::model, "c").empty());
+}
+
+// Guards against a cached list that survives the relabelling that drains an endpoint or moves a workspace.
+TEST(configuration_test, relabelling_changes_what_is_reachable) {
+    const configuration first = build(make_example_objects(20, 10));
+    EXPECT_EQ(drafts_of(first, "workspace-0").size(), 5U);
+    EXPECT_FALSE(first.may_reach("workspace-0", "drafts", "endpoint-1"));
+    const result<configuration> moved =
+        first.apply({2, {"c1", {label_patch(object_kind::workspace, "workspace-0", "size", "large", "small")}}});
+    ASSERT_TRUE(moved) << moved.last_error().reason;
+    EXPECT_TRUE(moved->may_reach("workspace-0", "drafts", "endpoint-1"));
+    EXPECT_EQ(drafts_of(*moved, "workspace-0"), drafts_of(first, "workspace-1"));
+    const result<configuration> drained =
+        moved->apply({3, {"c2", {label_patch(object_kind::endpoint, "endpoint-1", "state", std::nullopt, "drained")}}});
+    ASSERT_TRUE(drained);
+    EXPECT_FALSE(drained->may_reach("workspace-0", "drafts", "endpoint-1"));
+    EXPECT_EQ(drafts_of(*drained, "workspace-0").size(), 4U);
+    EXPECT_EQ(drafts_of(first, "workspace-0").size(), 5U);
+    const std::vector<reach_explanation> lines = drained->explain("workspace-0", "drafts");
+    EXPECT_EQ(lines[1],
+              (reach_explanation{"endpoint-1", false, "selector small: endpoint needs state!=drained, has drained"}));
+    EXPECT_EQ(lines[3], (reach_explanation{"endpoint-3", true, "selector small"}));
+}
+
+// Guards against a lost update between operators, and against conflicts between changes that do not overlap.
+RC_GTEST_PROP(configuration_property, racing_patches_conflict_only_on_the_same_label, (bool is_same)) {
+    const configuration now = build(make_example_objects(4, 4));
+    const std::string value = *rc::gen::element<std::string>("x", "y", "z");
+    const auto mine = label_patch(object_kind::endpoint, "endpoint-1", "a", std::nullopt, value);
+    const auto other = label_patch(object_kind::endpoint, "endpoint-1", is_same ? "a" : "b", std::nullopt, value);
+    const result<configuration> first = now.apply({2, {"c1", {mine}}});
+    RC_ASSERT(first.has_value());
+    const result<configuration> second = first->apply({3, {"c2", {other}}});
+    RC_ASSERT(second.has_value() == !is_same);
+    if (is_same) {
+        RC_ASSERT(second.last_error().kind == error_kind::conflict);
+        RC_ASSERT(second.last_error().reason.find("endpoint endpoint-1 label.a") == 0);
+    } else {
+        RC_ASSERT(second->objects().at({object_kind::endpoint, "endpoint-1"}).values.at("label.a") == value);
+    }
+}
+
+/// One generated label: object, key and value as small numbers, so that the maps overlap.
+using generated_label = std::tuple<int, int, int>;
+
+object_map random_objects() {
+    const auto labels = *rc::gen::container<std::vector<generated_label>>(
+        rc::gen::tuple(rc::gen::inRange(0, 6), rc::gen::inRange(0, 4), rc::gen::inRange(0, 3)));
+    object_map objects;
+    for (const auto& [name, key, value] : labels) {
+        object_fields& fields = objects[{object_kind::application, "a" + std::to_string(name)}];
+        if (key > 0) {
+            fields.values["label.k" + std::to_string(key)] = std::to_string(value);
+        } else if (value > 0) {
+            fields.values["priority"] = value == 1 ? "low" : "high";
+        }
+    }
+    return objects;
+}
+
+RC_GTEST_PROP(configuration_property, applied_diff_gives_the_wanted_objects, ()) {
+    const object_map before = random_objects();
+    const object_map wanted = random_objects();
+    const configuration now = build(before);
+    const result<configuration> pruned = now.apply({2, {"c", diff_objects(before, wanted, true)}});
+    RC_ASSERT(pruned.has_value());
+    RC_ASSERT(pruned->objects() == wanted);
+    const result<configuration> kept = now.apply({2, {"c", diff_objects(before, wanted, false)}});
+    RC_ASSERT(kept.has_value());
+    object_map merged = wanted;
+    merged.insert(before.begin(), before.end());
+    RC_ASSERT(kept->objects() == merged);
+    RC_ASSERT(diff_objects(kept->objects(), wanted, false).empty());
+    RC_ASSERT(*configuration::build(2, merged) == *kept);
+}
+
+// Guards against a change that leaves contradictory declarations in force.
+TEST(configuration_test, refuses_invalid_changes) {
+    const configuration now = build(make_example_objects(4, 4));
+    const object_key first{object_kind::workspace, "workspace-0"};
+    const auto same_key = now.apply({2, {"c", {{first, "key_sha256", example_digest(0), example_digest(1)}}}});
+    ASSERT_FALSE(same_key);
+    EXPECT_EQ(same_key.last_error().kind, error_kind::invalid_declaration);
+    EXPECT_THAT(same_key.last_error().reason, HasSubstr("key_sha256"));
+    EXPECT_FALSE(now.apply({2, {"c", {{first, "weight", "1.5", "heavy"}}}}));
+    EXPECT_FALSE(now.apply({2, {"c", {{first, "weight", "1.5", std::nullopt}, {first, "", std::nullopt, ""}}}}));
+    EXPECT_FALSE(now.apply({3, {"c", {{first, "weight", "1.5", "2"}}}}));
+    EXPECT_TRUE(now.apply({2, {"c", {{first, "weight", "1.5", "2"}}}}));
+    EXPECT_EQ(now.find_workspace("workspace-0")->weight, 1.5);
+}
+
+// Guards the memory of an entry (64 MB in all) at the size of the design page.
+TEST(configuration_test, snapshot_stays_below_its_memory_bound) {
+    const std::size_t before = mallinfo2().uordblks;
+    const configuration now = build(make_example_objects(15000, 1400));
+    const std::size_t used = mallinfo2().uordblks - before;
+    RecordProperty("snapshot_bytes", std::to_string(used));
+    EXPECT_LT(used, 30 * megabyte);
+    EXPECT_EQ(drafts_of(now, "workspace-8").size(), 700U);
+}
+
+} // namespace
+} // namespace pomelohoist
