--- /dev/null
+++ b/src/operator/status_client_datagram.cpp
@@ -0,0 +1,38 @@
+#include "operator/status_client.h"
+
+#include <algorithm>
+
+namespace pomelohoist {
+
+namespace {
+
+// Bounds the replies that arrive at once, so that the socket's receive buffer holds them.
+constexpr std::size_t max_calls_at_once = 256;
+
+} // namespace
+
+datagram_status_client::datagram_status_client(inner::datagram_endpoint& caller) : endpoint(caller) {}
+
+std::vector<result<inner::status_reply>> datagram_status_client::ask(const std::vector<net_address>& targets,
+                                                                     std::chrono::milliseconds timeout) {
+    std::vector<result<inner::status_reply>> replies;
+    replies.reserve(targets.size());
+    for (std::size_t begin = 0; begin < targets.size(); begin += max_calls_at_once) {
+        const std::size_t end = std::min(begin + max_calls_at_once, targets.size());
+        std::vector<inner::datagram_call> calls;
+        calls.reserve(end - begin);
+        for (std::size_t i = begin; i < end; ++i) {
+            calls.push_back({targets[i], inner::to_payload(inner::status_request{})});
+        }
+        for (const result<inner::packet>& reply : this->endpoint.call_all(calls, timeout)) {
+            if (reply) {
+                replies.push_back(inner::decode_body<inner::status_reply>(*reply));
+            } else {
+                replies.emplace_back(reply.last_error());
+            }
+        }
+    }
+    return replies;
+}
+
+} // namespace pomelohoist
