--- /dev/null
+++ b/standins/http_host.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/ThreadPool.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <string>
+#include <utility>
+
+#include <pthread.h>
+
+/// HTTP server of a stand-in: one function serves all requests, SIGTERM ends it gracefully.
+namespace standin {
+
+using http_function = std::function<void(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&)>;
+
+class function_handler : public Poco::Net::HTTPRequestHandler {
+  public:
+    explicit function_handler(const http_function& served_by) : function(served_by) {}
+    void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override {
+        this->function(request, response);
+    }
+
+  private:
+    const http_function& function;
+};
+
+class function_factory : public Poco::Net::HTTPRequestHandlerFactory {
+  public:
+    explicit function_factory(http_function served_by) : function(std::move(served_by)) {}
+    Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest& /*request*/) override {
+        return new function_handler{this->function};
+    }
+
+  private:
+    http_function function;
+};
+
+/// @returns true when the client has closed its connection
+inline bool is_client_gone(Poco::Net::HTTPServerRequest& request) {
+    try {
+        auto& socket = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+        return socket.poll(Poco::Timespan{0}, Poco::Net::Socket::SELECT_READ) && socket.available() == 0;
+    } catch (const Poco::Exception&) {
+        return true;
+    }
+}
+
+inline std::string read_body(Poco::Net::HTTPServerRequest& request) {
+    std::string body;
+    Poco::StreamCopier::copyToString(request.stream(), body);
+    return body;
+}
+
+inline void send_text(Poco::Net::HTTPServerResponse& response, int status, const std::string& type,
+                      const std::string& body) {
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    response.setContentType(type);
+    response.sendBuffer(body.data(), body.size());
+}
+
+/// Serves until SIGTERM or SIGINT, then waits for open requests.
+/// @param listen IP:PORT; port 0 lets the system choose
+inline int serve_until_signal(const std::string& listen, const http_function& function) {
+    constexpr int max_threads = 512;
+    constexpr int backlog = 512;
+    constexpr int min_threads = 4;
+    constexpr int idle_seconds = 60;
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    Poco::ThreadPool pool{min_threads, max_threads, idle_seconds};
+    const Poco::Net::ServerSocket socket{Poco::Net::SocketAddress{listen}, backlog};
+    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+    params->setMaxThreads(max_threads);
+    params->setMaxQueued(backlog);
+    Poco::Net::HTTPServer server{new function_factory{function}, pool, socket, params};
+    server.start();
+    std::cout << "ready http=" << socket.address().toString() << std::endl;
+    int received = 0;
+    sigwait(&signals, &received);
+    server.stopAll(false);
+    pool.joinAll();
+    return EXIT_SUCCESS;
+}
+
+} // namespace standin
