Implement the agent

Cause: the process beside each endpoint was missing: tickets, queue, endpoint drivers, crash suspects, drain and the daemon around them. Ruled out: replies remembered by sender and call number (a restarted entry's call numbers start again), and POCO's own reconnection (it may send twice).

--- /dev/null
+++ b/src/agent/agent_daemon.cpp
@@ -0,0 +1,200 @@
+#include "agent/agent_daemon.h"
+
+#include "agent/agent_handler.h"
+#include "agent/peer_suspect_publisher.h"
+
+#include <pomelohoist/config.h>
+
+#include <Poco/Exception.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+constexpr std::chrono::milliseconds health_interval{200};
+constexpr std::chrono::milliseconds drain_poll_interval{10};
+
+/// The settings of an agent.
+struct agent_settings {
+    agent_identity identity;
+    net_address inner;
+    net_address endpoint;
+    net_address platform;
+    std::vector<net_address> seeds;
+    bool is_model{true};
+    endpoint_rates rates;
+};
+
+agent_settings read_settings(const settings& checked) {
+    agent_settings read;
+    read.identity = {checked.text("process.name"), checked.text("endpoint.name"), checked.text("process.data_centre"),
+                     checked.text("process.host")};
+    read.inner = checked.address("inner.address");
+    read.endpoint = checked.address("endpoint.address");
+    read.platform = checked.address("platform.address");
+    read.seeds = checked.address_list("peers.seeds");
+    read.is_model = checked.text("endpoint.kind") == "model";
+    read.rates = {static_cast<std::uint32_t>(std::max<std::int64_t>(checked.integer("endpoint.slots"), 1)),
+                  checked.number("endpoint.prefill_tokens_per_ms"), checked.number("endpoint.token_ms")};
+    return read;
+}
+
+/// @returns a number that is different in each process and never 0
+std::uint64_t make_incarnation(random_source& random) {
+    std::uint64_t number = 0;
+    while (number == 0) {
+        number = random.next();
+    }
+    return number;
+}
+
+/// Checks the endpoint's health in intervals.
+class health_poller {
+  public:
+    explicit health_poller(crash_monitor& polled) : monitor(polled), thread([this] { this->loop(); }) {}
+    ~health_poller() {
+        {
+            const std::lock_guard lock{this->mutex};
+            this->stopping = true;
+        }
+        this->stopped.notify_all();
+        this->thread.join();
+    }
+    health_poller(const health_poller&) = delete;
+    health_poller& operator=(const health_poller&) = delete;
+
+  private:
+    void loop() {
+        std::unique_lock lock{this->mutex};
+        while (!this->stopping) {
+            lock.unlock();
+            this->monitor.check();
+            lock.lock();
+            this->stopped.wait_for(lock, health_interval, [this] { return this->stopping; });
+        }
+    }
+
+    crash_monitor& monitor;
+    std::mutex mutex;
+    std::condition_variable stopped;
+    bool stopping{false};
+    std::thread thread;
+};
+
+/// Everything that a started agent consists of, in the order of construction.
+class running_agent {
+  public:
+    running_agent(const agent_settings& chosen, const daemon_context& context,
+                  std::unique_ptr<inner::peer_listener> bound, std::unique_ptr<configuration_source> configurations)
+        : listener(std::move(bound)), source(std::move(configurations)),
+          driver(chosen.is_model ? make_model_driver(chosen.endpoint) : make_service_driver(chosen.endpoint)),
+          orders(make_order_gate()), tickets(context.time, make_incarnation(context.random)),
+          load(context.time, chosen.rates), suspects(context.time),
+          publisher(this->listener->calls(), *this->source, chosen.identity.endpoint_name),
+          monitor(*this->driver, this->suspects, this->publisher,
+                  chosen.identity.name + "-" + std::to_string(this->tickets.incarnation()), context.log),
+          scheduler(context.time, chosen.rates.slots, this->tickets, this->load, this->suspects, this->monitor),
+          answers(context.time), handler({context, this->tickets, this->scheduler, this->answers, *this->driver,
+                                          this->monitor, this->watch, *this->orders, *this->source},
+                                         chosen.identity, *this->source, this->suspects),
+          poller(this->monitor) {
+        this->listener->start(this->handler, this->handler);
+    }
+
+    [[nodiscard]] net_address address() const { return this->listener->local_address(); }
+
+    void stop(const clock& time) {
+        this->handler.begin_drain();
+        const steady_time give_up = time.now() + config::shutdown_grace;
+        while (this->tickets.open_count() > 0 && time.now() < give_up) {
+            std::this_thread::sleep_for(drain_poll_interval);
+        }
+        if (this->tickets.open_count() > 0) {
+            // What is still queued is refused as not run when the slots are released.
+            this->monitor.connection_refused();
+            this->watch.abort_all();
+        }
+        this->listener->stop();
+    }
+
+  private:
+    std::unique_ptr<inner::peer_listener> listener;
+    std::unique_ptr<configuration_source> source;
+    std::unique_ptr<endpoint_driver> driver;
+    std::unique_ptr<order_gate> orders;
+    ticket_table tickets;
+    load_model load;
+    suspect_list suspects;
+    peer_suspect_publisher publisher;
+    crash_monitor monitor;
+    run_scheduler scheduler;
+    completed_answers answers;
+    run_watch watch;
+    agent_handler handler;
+    health_poller poller;
+};
+
+class agent_daemon : public daemon {
+  public:
+    agent_daemon(agent_settings chosen_settings, const daemon_context& host, source_maker maker)
+        : chosen(std::move(chosen_settings)), context(host), make_source(std::move(maker)) {}
+
+    result<std::string> start() override {
+        try {
+            auto listener = std::make_unique<inner::peer_listener>(this->chosen.inner, this->chosen.identity.name,
+                                                                   this->context.time);
+            result<std::unique_ptr<configuration_source>> source =
+                this->make_source({this->context, *listener, this->chosen.identity.name,
+                                   this->chosen.identity.data_centre, this->chosen.seeds, this->chosen.platform});
+            if (!source) {
+                return source.last_error();
+            }
+            this->running =
+                std::make_unique<running_agent>(this->chosen, this->context, std::move(listener), std::move(*source));
+            return "inner=" + this->running->address().to_string();
+        } catch (const Poco::Exception& error) {
+            return failure{error_kind::invalid_settings, "inner.address: " + error.displayText()};
+        }
+    }
+
+    void stop() override {
+        if (this->running) {
+            this->running->stop(this->context.time);
+            this->running.reset();
+        }
+    }
+
+  private:
+    agent_settings chosen;
+    daemon_context context;
+    source_maker make_source;
+    std::unique_ptr<running_agent> running;
+};
+
+} // namespace
+
+settings_schema agent_daemon_factory::schema() const {
+    return {
+        {"inner.address", setting_type::address, true, "", "address for entries and peers, UDP and TCP", {}},
+        {"endpoint.name", setting_type::text, true, "", "name of the declared endpoint beside this agent", {}},
+        {"endpoint.kind", setting_type::choice, false, "model", "kind of the endpoint", {"model", "service"}},
+        {"endpoint.address", setting_type::address, true, "", "HTTP address of the endpoint", {}},
+        {"endpoint.slots", setting_type::integer, false, "8", "requests that the endpoint runs at once", {}},
+        {"endpoint.prefill_tokens_per_ms", setting_type::number, false, "10", "prompt tokens per millisecond", {}},
+        {"endpoint.token_ms", setting_type::number, false, "20", "milliseconds per output token", {}},
+        {"peers.seeds", setting_type::address_list, false, "", "inner addresses of other processes", {}},
+        {"platform.address", setting_type::address, true, "", "address of the platform's services", {}},
+    };
+}
+
+std::unique_ptr<daemon> agent_daemon_factory::create(const settings& checked, const daemon_context& context) {
+    return std::make_unique<agent_daemon>(read_settings(checked), context, this->make_source);
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/agent/http_call.cpp
@@ -0,0 +1,217 @@
+#include "agent/http_call.h"
+
+#include <pomelohoist/config.h>
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/String.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <exception>
+#include <istream>
+#include <optional>
+#include <ostream>
+
+namespace pomelohoist {
+
+namespace {
+
+using Poco::Net::HTTPClientSession;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+using Poco::Net::StreamSocket;
+
+constexpr std::int64_t microseconds_per_millisecond = 1000;
+constexpr std::size_t read_buffer_bytes = 16384;
+constexpr std::chrono::milliseconds health_timeout{500};
+
+// These describe one connection and are set anew on the next one.
+constexpr std::array<std::string_view, 7> connection_headers{
+    "connection", "content-length", "host", "keep-alive", "te", "upgrade", "transfer-encoding"};
+
+Poco::Timespan to_poco(std::chrono::milliseconds duration) {
+    return Poco::Timespan{duration.count() * microseconds_per_millisecond};
+}
+
+bool is_connection_header(const std::string& name) {
+    const std::string lower = Poco::toLower(name);
+    return std::find(connection_headers.begin(), connection_headers.end(), lower) != connection_headers.end();
+}
+
+result<StreamSocket> connect(const net_address& target, std::chrono::milliseconds timeout) {
+    try {
+        StreamSocket socket;
+        socket.connect(Poco::Net::SocketAddress{target.ip, target.port}, to_poco(timeout));
+        socket.setNoDelay(true);
+        return socket;
+    } catch (const Poco::Exception& error) {
+        return failure{error_kind::not_ready, target.to_string() + ": " + error.displayText()};
+    }
+}
+
+/// Detaches the signal before the socket that it would shut down is closed.
+class attachment {
+  public:
+    attachment(abort_signal& given, const StreamSocket& socket) : signal(given) {
+        this->signal.attach([copy = socket]() mutable {
+            try {
+                copy.shutdown();
+            } catch (const Poco::Exception&) {
+                // The endpoint has closed the connection already.
+                return;
+            }
+        });
+    }
+    ~attachment() { this->signal.detach(); }
+    attachment(const attachment&) = delete;
+    attachment& operator=(const attachment&) = delete;
+
+  private:
+    abort_signal& signal;
+};
+
+std::vector<inner::header_field> answer_headers(const HTTPResponse& response) {
+    std::vector<inner::header_field> headers;
+    for (const auto& [name, value] : response) {
+        if (!is_connection_header(name)) {
+            headers.push_back({name, value});
+        }
+    }
+    return headers;
+}
+
+void send_request(HTTPClientSession& session, const net_address& target, const endpoint_request& request) {
+    HTTPRequest head{request.method, request.path, HTTPRequest::HTTP_1_1};
+    for (const inner::header_field& header : request.headers) {
+        if (!is_connection_header(header.name)) {
+            head.set(header.name, header.value);
+        }
+    }
+    head.setHost(target.to_string());
+    head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
+    session.sendRequest(head).write(request.body.data(), static_cast<std::streamsize>(request.body.size()));
+}
+
+/// @returns the number of body bytes, or nothing when the sink ended the run
+std::optional<std::uint64_t> pass_body(std::istream& body, answer_sink& sink) {
+    std::array<char, read_buffer_bytes> buffer{};
+    std::uint64_t total = 0;
+    // peek() waits for the next bytes; in_avail() then takes what has come without waiting for a full buffer.
+    while (body.peek() != std::istream::traits_type::eof()) {
+        const auto available = std::clamp<std::streamsize>(body.rdbuf()->in_avail(), 1, buffer.size());
+        const std::streamsize count = body.rdbuf()->sgetn(buffer.data(), available);
+        total += static_cast<std::uint64_t>(count);
+        if (!sink.on_data({buffer.data(), static_cast<std::size_t>(count)})) {
+            return std::nullopt;
+        }
+    }
+    return total;
+}
+
+/// @returns why the body may be cut off, or nothing when it is whole
+std::optional<std::string> find_truncation(HTTPClientSession& session, const HTTPRequest& sent,
+                                           const HTTPResponse& response, std::uint64_t received) {
+    if (session.networkException() != nullptr) {
+        return session.networkException()->displayText();
+    }
+    const bool has_body = sent.getMethod() != HTTPRequest::HTTP_HEAD && response.getStatus() >= HTTPResponse::HTTP_OK &&
+                          response.getStatus() != HTTPResponse::HTTP_NO_CONTENT &&
+                          response.getStatus() != HTTPResponse::HTTP_NOT_MODIFIED;
+    if (!has_body) {
+        return std::nullopt;
+    }
+    if (!response.getChunkedTransferEncoding()) {
+        if (response.hasContentLength() && static_cast<std::uint64_t>(response.getContentLength64()) == received) {
+            return std::nullopt;
+        }
+        return std::string{response.hasContentLength() ? "the body is shorter than its Content-Length"
+                                                       : "the body has neither a length nor chunks"};
+    }
+    // POCO ends a chunked body in the same way at its last chunk and at a lost connection. After the last chunk of a
+    // connection that is kept alive the socket is still open.
+    StreamSocket socket = session.socket();
+    if (socket.poll(Poco::Timespan{0}, Poco::Net::Socket::SELECT_READ) && socket.available() == 0) {
+        return std::string{"the connection was closed before the last chunk could be confirmed"};
+    }
+    return std::nullopt;
+}
+
+run_report exchange(HTTPClientSession& session, const net_address& target, const endpoint_request& request,
+                    answer_sink& sink) {
+    send_request(session, target, request);
+    HTTPResponse response;
+    std::istream& body = session.receiveResponse(response);
+    if (!sink.on_head(static_cast<std::uint16_t>(response.getStatus()), answer_headers(response))) {
+        return {run_outcome::aborted, "ended by the receiver"};
+    }
+    const std::optional<std::uint64_t> received = pass_body(body, sink);
+    if (!received) {
+        return {run_outcome::aborted, "ended by the receiver"};
+    }
+    const HTTPRequest sent{request.method, request.path};
+    const std::optional<std::string> truncation = find_truncation(session, sent, response, *received);
+    return truncation ? run_report{run_outcome::broken, *truncation} : run_report{run_outcome::completed, ""};
+}
+
+} // namespace
+
+run_report run_http(const net_address& target, const endpoint_request& request, answer_sink& sink,
+                    abort_signal& signal) {
+    const result<StreamSocket> connected = connect(target, config::connect_timeout);
+    if (!connected) {
+        return {run_outcome::refused, connected.last_error().reason};
+    }
+    if (signal.is_aborted()) {
+        return {run_outcome::refused, "ended before anything was sent"};
+    }
+    sink.on_send();
+    // A session that is made from a socket knows no host, so it cannot connect and send a second time by itself.
+    HTTPClientSession session{*connected};
+    session.setKeepAlive(true);
+    session.setTimeout(to_poco(config::default_request_deadline));
+    const attachment attached{signal, *connected};
+    run_report report;
+    try {
+        report = exchange(session, target, request, sink);
+    } catch (const Poco::Exception& error) {
+        report = {run_outcome::broken, error.displayText()};
+    } catch (const std::exception& error) {
+        report = {run_outcome::broken, error.what()};
+    }
+    if (report.outcome == run_outcome::broken && signal.is_aborted()) {
+        report.outcome = run_outcome::aborted;
+    }
+    return report;
+}
+
+result<endpoint_health> check_http_health(const net_address& target) {
+    const result<StreamSocket> connected = connect(target, health_timeout);
+    if (!connected) {
+        return connected.last_error();
+    }
+    try {
+        HTTPClientSession session{*connected};
+        session.setKeepAlive(true);
+        session.setTimeout(to_poco(health_timeout));
+        send_request(session, target, {HTTPRequest::HTTP_GET, "/health", {}, ""});
+        HTTPResponse response;
+        std::string body;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+        if (response.getStatus() != HTTPResponse::HTTP_OK) {
+            return failure{error_kind::not_ready, "health status " + std::to_string(response.getStatus())};
+        }
+        const auto parsed = nlohmann::json::parse(body, nullptr, false);
+        const bool tells_boot_id = parsed.is_object() && parsed.contains("boot_id") && parsed.at("boot_id").is_string();
+        return endpoint_health{tells_boot_id ? parsed.at("boot_id").get<std::string>() : ""};
+    } catch (const Poco::Exception& error) {
+        return failure{error_kind::not_ready, error.displayText()};
+    }
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/agent/run_scheduler.cpp
@@ -0,0 +1,144 @@
+#include "agent/run_scheduler.h"
+
+#include <pomelohoist/config.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace pomelohoist {
+
+namespace {
+
+// Bounds how late a waiting thread notices that its entry is gone.
+constexpr std::chrono::milliseconds abandoned_check_interval{20};
+
+} // namespace
+
+run_scheduler::run_scheduler(const clock& time_source, std::uint32_t endpoint_slots, ticket_table& agent_tickets,
+                             load_model& endpoint_load, suspect_list& known_suspects, const endpoint_state& endpoint)
+    : time(time_source), slots(endpoint_slots), tickets(agent_tickets), load(endpoint_load), suspects(known_suspects),
+      state(endpoint), queue(time_source) {}
+
+load_estimate run_scheduler::estimate(const request_size& size, priority importance) {
+    // An entry reserves at several agents and uses one ticket of them.
+    const std::size_t expected = this->tickets.unused_count() / config::reserve_candidates;
+    const std::lock_guard lock{this->mutex};
+    return this->estimate_locked(size, importance, expected);
+}
+
+turn run_scheduler::wait_turn(const queue_item& item, const request_size& size,
+                              const std::function<bool()>& is_abandoned) {
+    std::unique_lock lock{this->mutex};
+    this->waits[item.id] = {size, turn::waiting};
+    this->drop_expired();
+    const auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(item.latest_start - this->time.now());
+    if (refuse_if_late(this->estimate_locked(size, item.importance, 0).wait, time_left)) {
+        this->drop(item.id, turn::late);
+    } else {
+        this->queue.push(item);
+        this->dispatch();
+    }
+    while (this->waits[item.id].state == turn::waiting) {
+        this->changed.wait_for(lock, abandoned_check_interval);
+        this->drop_expired();
+        this->dispatch();
+        if (this->waits[item.id].state == turn::waiting && is_abandoned()) {
+            this->queue.remove(item.id);
+            this->drop(item.id, turn::cancelled);
+        }
+    }
+    const turn decided = this->waits[item.id].state;
+    this->waits.erase(item.id);
+    return decided;
+}
+
+void run_scheduler::release(const ticket& id, bool completed) {
+    const std::lock_guard lock{this->mutex};
+    this->load.on_end(id, completed);
+    this->running_digests.erase(id);
+    this->dispatch();
+}
+
+void run_scheduler::on_voided(const ticket& id) {
+    const std::lock_guard lock{this->mutex};
+    if (this->queue.remove(id)) {
+        this->drop(id, turn::cancelled);
+        this->dispatch();
+    }
+}
+
+std::size_t run_scheduler::queued() {
+    const std::lock_guard lock{this->mutex};
+    return this->queue.size();
+}
+
+std::size_t run_scheduler::running() {
+    const std::lock_guard lock{this->mutex};
+    return this->running_digests.size();
+}
+
+load_estimate run_scheduler::estimate_locked(const request_size& size, priority importance,
+                                             std::size_t unused_tickets) {
+    const std::chrono::milliseconds work_ahead =
+        this->queue.work_before(importance) + this->load.work(size) * static_cast<std::int64_t>(unused_tickets);
+    return this->load.estimate(size, work_ahead, this->queue.size() + unused_tickets);
+}
+
+void run_scheduler::dispatch() {
+    while (this->running_digests.size() < this->slots) {
+        const auto next = this->queue.pop([this](const queue_item& candidate) { return this->may_run(candidate); });
+        if (!next) {
+            return;
+        }
+        waiting_run& waiting = this->waits[next->id];
+        const turn decided = this->decide(*next, waiting.size);
+        if (decided == turn::granted) {
+            waiting.state = decided;
+            this->changed.notify_all();
+        } else {
+            this->drop(next->id, decided);
+        }
+    }
+}
+
+turn run_scheduler::decide(const queue_item& next, const request_size& size) {
+    if (!this->state.is_ready()) {
+        return turn::not_ready;
+    }
+    // A report may have come since the reservation; running it then would cost another endpoint.
+    if (this->suspects.is_quarantined(next.digest)) {
+        return turn::quarantined;
+    }
+    if (!this->tickets.start(next.id)) {
+        return turn::cancelled;
+    }
+    this->running_digests[next.id] = next.digest;
+    this->load.on_start(next.id, size);
+    return turn::granted;
+}
+
+bool run_scheduler::may_run(const queue_item& candidate) {
+    if (!this->suspects.is_suspect(candidate.digest)) {
+        return true;
+    }
+    // Two suspects side by side would both be blamed for a death that one of them caused.
+    return std::none_of(this->running_digests.begin(), this->running_digests.end(),
+                        [this](const auto& run) { return this->suspects.is_suspect(run.second); });
+}
+
+void run_scheduler::drop(const ticket& id, turn reason) {
+    this->tickets.cancel(id);
+    const auto found = this->waits.find(id);
+    if (found != this->waits.end()) {
+        found->second.state = reason;
+    }
+    this->changed.notify_all();
+}
+
+void run_scheduler::drop_expired() {
+    for (const queue_item& expired : this->queue.take_expired()) {
+        this->drop(expired.id, turn::late);
+    }
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/agent/run_scheduler.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "agent/crash_monitor.h"
+#include "agent/fair_queue.h"
+#include "agent/load_model.h"
+#include "agent/suspect_list.h"
+#include "agent/ticket_table.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+/// Gives the endpoint's slots to presented tickets, one thread of the agent waiting for each.
+namespace pomelohoist {
+
+/// How a wait for a slot ended. All but `granted` prove that the ticket was not run and never will be.
+enum class turn : std::uint8_t {
+    waiting,
+    granted,
+    cancelled,
+    late, ///< cannot start before its deadline
+    quarantined,
+    not_ready,
+    count
+};
+
+class run_scheduler {
+  public:
+    run_scheduler(const clock& time_source, std::uint32_t endpoint_slots, ticket_table& agent_tickets,
+                  load_model& endpoint_load, suspect_list& known_suspects, const endpoint_state& endpoint);
+
+    /// @returns expected time of a request at the endpoint
+    [[nodiscard]] std::chrono::milliseconds work(const request_size& size) const { return this->load.work(size); }
+
+    /// @returns what a request of this size and priority can expect now, counting the share of unused tickets that will
+    /// probably be presented
+    [[nodiscard]] load_estimate estimate(const request_size& size, priority importance);
+
+    /// Waits for a slot for a presented ticket. The ticket is started when a slot is granted, and void otherwise.
+    /// @param is_abandoned true when nobody waits for the answer any more
+    turn wait_turn(const queue_item& item, const request_size& size, const std::function<bool()>& is_abandoned);
+
+    /// Returns the slot of a granted ticket.
+    void release(const ticket& id, bool completed);
+
+    /// Ends the wait of a ticket that was voided.
+    void on_voided(const ticket& id);
+
+    [[nodiscard]] std::size_t queued();
+    [[nodiscard]] std::size_t running();
+
+  private:
+    struct waiting_run {
+        request_size size;
+        turn state{turn::waiting};
+    };
+
+    load_estimate estimate_locked(const request_size& size, priority importance, std::size_t unused_tickets);
+    void dispatch();
+    turn decide(const queue_item& next, const request_size& size);
+    bool may_run(const queue_item& candidate);
+    void drop(const ticket& id, turn reason);
+    void drop_expired();
+
+    const clock& time;
+    std::uint32_t slots;
+    ticket_table& tickets;
+    load_model& load;
+    suspect_list& suspects;
+    const endpoint_state& state;
+
+    std::mutex mutex;
+    std::condition_variable changed;
+    fair_queue queue;
+    std::map<ticket, waiting_run> waits;
+    std::map<ticket, std::string> running_digests;
+};
+
+} // namespace pomelohoist
