Add the platform client, circuit breaker, leases and claims

The daemons need the platform's services with failures that are always store_unavailable, and writes whose lost answer is resolved by reading back.

Leases: a row of the same holder name but another epoch counts as foreign, so that a restarted process does not go on under the epoch of its predecessor. Ruled out: deleting the row on release, which would start the epochs again at 1.

--- /dev/null
+++ b/src/claim/claim_store.cpp
@@ -0,0 +1,117 @@
+#include "claim/claim_store.h"
+
+#include "common/digest.h"
+#include "inner/codec.h"
+
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+// One more attempt resolves a single lost answer whose read-back found no row; more would eat the caller's deadline.
+constexpr int max_write_attempts = 2;
+constexpr int max_complete_attempts = 3;
+
+/// Serialized form of a claim. cereal rather than JSON, since bodies of answers may hold any bytes.
+struct stored_claim {
+    claim content;
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->content.attempt, this->content.body_digest, this->content.agent, this->content.granted,
+                this->content.state, this->content.answer);
+    }
+};
+
+std::string row_key(const std::string& workspace_name, const std::string& key) {
+    return "claim/" + workspace_name + "/" + sha256_hex(key);
+}
+
+bool is_too_large(const std::optional<inner::stored_answer>& answer) {
+    return answer && answer->body.size() + answer->content_type.size() > claim_store::max_answer_bytes;
+}
+
+} // namespace
+
+claim_store::claim_store(table_service& rows) : table(rows) {}
+
+result<std::optional<claim_record>> claim_store::read(const std::string& key, const std::string& attempt) {
+    const result<std::optional<table_row>> row = this->table.get(key);
+    if (!row) {
+        return row.last_error();
+    }
+    if (!*row) {
+        return std::optional<claim_record>{};
+    }
+    const result<stored_claim> stored = inner::decode<stored_claim>((*row)->value);
+    if (!stored) {
+        return failure{error_kind::internal, "claim row " + key + ": " + stored.last_error().reason};
+    }
+    const bool is_own = !attempt.empty() && stored->content.attempt == attempt;
+    return std::optional{claim_record{stored->content, (*row)->revision, is_own}};
+}
+
+result<claim_record> claim_store::write(const std::string& key, std::uint64_t revision, const claim& wanted) {
+    if (is_too_large(wanted.answer)) {
+        return failure{error_kind::payload_too_large, "claim row " + key + ": answer is too large to store"};
+    }
+    const table_transaction transaction{{row_condition{key, revision}},
+                                        {row_write{key, inner::encode(stored_claim{wanted})}}};
+    failure last_failure{error_kind::store_unavailable, "claim row " + key + " was not written"};
+    for (int attempt = 0; attempt < max_write_attempts; ++attempt) {
+        const result<transaction_outcome> outcome = this->table.commit(transaction);
+        if (outcome && outcome->committed) {
+            return claim_record{wanted, outcome->revision, true};
+        }
+        // The answer may be lost, or the refused write may be the repetition of one that took effect.
+        const result<std::optional<claim_record>> standing = this->read(key, wanted.attempt);
+        if (!standing) {
+            return standing.last_error();
+        }
+        if (*standing && ((*standing)->is_own || (*standing)->revision != revision)) {
+            return **standing;
+        }
+        if (!outcome) {
+            last_failure = outcome.last_error();
+        }
+    }
+    return last_failure;
+}
+
+result<claim_record> claim_store::insert(const std::string& workspace_name, const std::string& key,
+                                         const claim& wanted) {
+    return this->write(row_key(workspace_name, key), 0, wanted);
+}
+
+result<std::optional<claim_record>> claim_store::find(const std::string& workspace_name, const std::string& key) {
+    return this->read(row_key(workspace_name, key), {});
+}
+
+result<claim_record> claim_store::take_over(const std::string& workspace_name, const std::string& key,
+                                            const claim_record& previous, const claim& wanted) {
+    return this->write(row_key(workspace_name, key), previous.revision, wanted);
+}
+
+result<done> claim_store::complete(const std::string& workspace_name, const std::string& key, const claim_record& own,
+                                   const inner::stored_answer& answer) {
+    claim completed = own.content;
+    completed.state = claim_state::completed;
+    completed.answer = answer;
+    std::uint64_t revision = own.revision;
+    for (int attempt = 0; attempt < max_complete_attempts; ++attempt) {
+        const result<claim_record> standing = this->write(row_key(workspace_name, key), revision, completed);
+        if (!standing) {
+            return standing.last_error();
+        }
+        if (!standing->is_own) {
+            return failure{error_kind::conflict, "the claim is held by another attempt"};
+        }
+        if (standing->content.state == claim_state::completed) {
+            return done{};
+        }
+        revision = standing->revision;
+    }
+    return failure{error_kind::store_unavailable, "the claim was not completed"};
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/lease/lease.cpp
@@ -0,0 +1,149 @@
+#include "lease/lease.h"
+
+#include <pomelohoist/config.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+using nlohmann::json;
+
+std::string to_text(const lease_row& row) {
+    return json{{"holder", row.holder}, {"epoch", row.epoch}, {"renewal", row.renewal}}.dump();
+}
+
+std::optional<lease_row> parse(const std::string& text) {
+    try {
+        const json content = json::parse(text);
+        return lease_row{content.at("holder").get<std::string>(), content.at("epoch").get<std::uint64_t>(),
+                         content.at("renewal").get<std::uint64_t>()};
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+lease::lease(table_service& rows, const clock& time_source, std::string group, std::string holder)
+    : table(rows), time(time_source), key("lease/" + std::move(group)), name(std::move(holder)) {}
+
+std::optional<std::uint64_t> lease::try_hold() {
+    const result<std::optional<table_row>> read = this->table.get(this->key);
+    if (!read) {
+        return this->held_epoch();
+    }
+    const std::optional<table_row>& row = *read;
+    if (!row) {
+        // A row that was removed takes its epoch along; the one that this process knows is the best lower bound.
+        return this->write(row, lease_row{this->name, std::max(this->own_epoch, this->attempted_epoch) + 1, 0});
+    }
+    const std::optional<lease_row> content = parse(row->value);
+    if (!content) {
+        // The epoch of a malformed row is unknown, and a guess could lower it.
+        return this->held_epoch();
+    }
+    if (this->is_own(*content)) {
+        // Nobody has taken the row since this process wrote it, so the epoch is still its own, even after an expiry.
+        return this->write(row, lease_row{this->name, content->epoch, content->renewal + 1});
+    }
+    if (content->holder.empty() || this->has_expired(*row)) {
+        return this->write(row, lease_row{this->name, content->epoch + 1, 0});
+    }
+    return std::nullopt;
+}
+
+bool lease::is_own(const lease_row& content) const {
+    // The epoch is compared as well: a row that an earlier process of the same name left belongs to another holder.
+    return content.holder == this->name && (content.epoch == this->own_epoch || content.epoch == this->attempted_epoch);
+}
+
+bool lease::has_expired(const table_row& row) {
+    const steady_time now = this->time.now();
+    if (row.revision != this->observed_revision) {
+        this->observed_revision = row.revision;
+        this->observed_since = now;
+        return false;
+    }
+    return now - this->observed_since >= config::lease_lifetime + config::lease_margin;
+}
+
+std::optional<std::uint64_t> lease::write(const std::optional<table_row>& previous, const lease_row& next) {
+    // The lifetime counts from before the write: a challenger cannot have seen the new revision any earlier.
+    const steady_time begin = this->time.now();
+    this->attempted_epoch = next.epoch;
+    const result<transaction_outcome> outcome = this->table.commit(
+        table_transaction{{row_condition{this->key, previous ? previous->revision : 0}}, {{this->key, to_text(next)}}});
+    if (!outcome) {
+        if (!this->is_written(next)) {
+            return this->held_epoch();
+        }
+    } else if (!outcome->committed) {
+        // Another process has written the row; if this process held the lease, it had let it expire.
+        const std::lock_guard lock{this->mutex};
+        this->valid_until = {};
+        return std::nullopt;
+    }
+    {
+        const std::lock_guard lock{this->mutex};
+        this->own_epoch = next.epoch;
+        this->valid_until = begin + config::lease_lifetime;
+    }
+    return this->held_epoch();
+}
+
+bool lease::is_written(const lease_row& next) {
+    const result<std::optional<table_row>> read = this->table.get(this->key);
+    return read && *read && parse((*read)->value) == std::optional{next};
+}
+
+std::optional<std::uint64_t> lease::held_epoch() const {
+    const std::lock_guard lock{this->mutex};
+    if (this->own_epoch == 0 || this->time.now() >= this->valid_until) {
+        return std::nullopt;
+    }
+    return this->own_epoch;
+}
+
+void lease::release() {
+    {
+        const std::lock_guard lock{this->mutex};
+        this->valid_until = {};
+    }
+    const result<std::optional<table_row>> read = this->table.get(this->key);
+    if (!read || !*read) {
+        return;
+    }
+    const table_row& row = **read;
+    const std::optional<lease_row> content = parse(row.value);
+    if (!content || !this->is_own(*content)) {
+        return;
+    }
+    // The row keeps the epoch, so that the next holder's is higher. A failed write leaves the lease to expire.
+    const lease_row freed{"", content->epoch, content->renewal + 1};
+    this->table.commit(table_transaction{{row_condition{this->key, row.revision}}, {{this->key, to_text(freed)}}});
+    const std::lock_guard lock{this->mutex};
+    this->own_epoch = 0;
+    this->attempted_epoch = 0;
+}
+
+bool fencing_gate::admit(std::uint64_t epoch) {
+    const std::lock_guard lock{this->mutex};
+    if (epoch < this->highest_epoch) {
+        return false;
+    }
+    this->highest_epoch = epoch;
+    return true;
+}
+
+std::uint64_t fencing_gate::highest() const {
+    const std::lock_guard lock{this->mutex};
+    return this->highest_epoch;
+}
+
+} // namespace pomelohoist
--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -22,12 +22,20 @@
     friend bool operator==(const lease_row&, const lease_row&) = default;
 };
 
-/// One process's view of one lease. Called periodically by one thread.
+/// One process's view of one lease. `try_hold` and `release` are called by one thread, `held_epoch` by any.
+///
+/// Guarantees, while the monotonic clocks of all processes run at the same rate within `config::lease_margin` for each
+/// `config::lease_lifetime`:
+/// - at most one process has a `held_epoch` at any moment;
+/// - each holder's epoch is higher than those of all earlier holders, also after a release.
+/// A paused holder may act on an epoch that it read before the pause; the `fencing_gate` refuses that order.
 class lease {
   public:
+    /// @param holder name of this process; two live processes must not share one
     lease(table_service& rows, const clock& time_source, std::string group, std::string holder);
 
-    /// Renews the lease, or acquires it when it has expired.
+    /// Renews the lease, or acquires it when it is free or has not changed for one lifetime plus a margin.
+    /// A failure of the store leaves a held lease in force until it expires by this process's clock.
     /// @returns the epoch while this process holds the lease, or nothing
     std::optional<std::uint64_t> try_hold();
 
@@ -39,6 +47,9 @@
 
   private:
     std::optional<std::uint64_t> write(const std::optional<table_row>& previous, const lease_row& next);
+    bool is_written(const lease_row& next);
+    bool is_own(const lease_row& content) const;
+    bool has_expired(const table_row& row);
 
     table_service& table;
     const clock& time;
@@ -46,6 +57,7 @@
     std::string name;
     mutable std::mutex mutex;
     std::uint64_t own_epoch{0};
+    std::uint64_t attempted_epoch{0}; ///< of the last acquisition, whose answer may have been lost
     std::uint64_t observed_revision{0};
     steady_time observed_since{};
     steady_time valid_until{};
--- /dev/null
+++ b/src/platform/circuit_breaker.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <pomelohoist/clock.h>
+#include <pomelohoist/config.h>
+
+#include <chrono>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+
+/// Circuit breaker on consecutive failures.
+namespace pomelohoist {
+
+/// Permission for one call; tells results of an earlier state of the breaker from those of the present one.
+struct breaker_permit {
+    std::uint64_t generation{0};
+
+    friend bool operator==(const breaker_permit&, const breaker_permit&) = default;
+};
+
+/// Safe for several threads.
+class circuit_breaker {
+  public:
+    explicit circuit_breaker(const clock& time_source, std::uint32_t failures = config::breaker_failures,
+                             std::chrono::milliseconds open_duration = config::breaker_open_time);
+
+    /// @returns a permit, or nothing while the breaker is open; after the open time one caller gets one as the probe
+    std::optional<breaker_permit> try_pass();
+    /// Reports the result of a permitted call. Results of an earlier state are ignored.
+    void report(const breaker_permit& permit, bool succeeded);
+    [[nodiscard]] bool is_open() const;
+
+  private:
+    enum class state : std::uint8_t { closed, open, probing, count };
+
+    void enter(state next);
+
+    const clock& time;
+    std::uint32_t max_failures;
+    std::chrono::milliseconds open_time;
+    mutable std::mutex mutex;
+    state current{state::closed};
+    std::uint64_t generation{0};
+    std::uint32_t consecutive_failures{0};
+    steady_time changed_at{};
+};
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/platform/http_platform.cpp
@@ -0,0 +1,263 @@
+#include "platform/http_platform.h"
+
+#include "platform/base64.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/Timespan.h>
+#include <Poco/URI.h>
+
+#include <nlohmann/json.hpp>
+
+#include <exception>
+#include <istream>
+#include <ostream>
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t max_idle_sessions = 8;
+constexpr long long microseconds_per_millisecond = 1000;
+// Shorter than the idle limit of usual servers, so that a write rarely meets a connection that the server closes.
+constexpr int session_idle_seconds = 5;
+constexpr const char* json_type = "application/json";
+constexpr const char* binary_type = "application/octet-stream";
+
+failure unavailable(const std::string& reason) {
+    return {error_kind::store_unavailable, "platform: " + reason};
+}
+
+/// The JSON form of etcd writes 64-bit integers as strings.
+std::uint64_t to_integer(const json& number) {
+    return number.is_string() ? std::stoull(number.get<std::string>()) : number.get<std::uint64_t>();
+}
+
+/// @returns the first key after all keys with the prefix; "\0" means the end of the table
+std::string prefix_end(std::string prefix) {
+    while (!prefix.empty() && static_cast<unsigned char>(prefix.back()) == 0xFFU) {
+        prefix.pop_back();
+    }
+    if (prefix.empty()) {
+        return std::string(1, '\0');
+    }
+    prefix.back() = static_cast<char>(static_cast<unsigned char>(prefix.back()) + 1U);
+    return prefix;
+}
+
+std::vector<table_row> parse_rows(const std::string& body) {
+    const json answer = json::parse(body);
+    std::vector<table_row> rows;
+    const json found = answer.value("kvs", json::array());
+    rows.reserve(found.size());
+    for (const json& row : found) {
+        rows.push_back({decode_base64(row.at("key").get<std::string>()),
+                        decode_base64(row.value("value", std::string{})), to_integer(row.at("mod_revision"))});
+    }
+    return rows;
+}
+
+json to_json(const table_transaction& transaction) {
+    json conditions = json::array();
+    for (const row_condition& condition : transaction.conditions) {
+        conditions.push_back({{"key", encode_base64(condition.key)},
+                              {"target", "MOD"},
+                              {"result", "EQUAL"},
+                              {"mod_revision", std::to_string(condition.revision)}});
+    }
+    json operations = json::array();
+    for (const row_write& write : transaction.writes) {
+        const std::string key = encode_base64(write.key);
+        if (write.value) {
+            operations.push_back({{"request_put", {{"key", key}, {"value", encode_base64(*write.value)}}}});
+        } else {
+            operations.push_back({{"request_delete_range", {{"key", key}}}});
+        }
+    }
+    return {{"compare", std::move(conditions)}, {"success", std::move(operations)}, {"failure", json::array()}};
+}
+
+std::string object_path(const std::string& name) {
+    std::string encoded;
+    Poco::URI::encode(name, "?#", encoded);
+    return "/objects/" + encoded;
+}
+
+} // namespace
+
+http_platform::http_platform(net_address server, std::chrono::milliseconds timeout)
+    : target(std::move(server)), limit(timeout) {}
+
+std::unique_ptr<Poco::Net::HTTPClientSession> http_platform::take_session() {
+    {
+        const std::lock_guard lock{this->mutex};
+        if (!this->idle_sessions.empty()) {
+            auto session = std::move(this->idle_sessions.back());
+            this->idle_sessions.pop_back();
+            return session;
+        }
+    }
+    auto session = std::make_unique<Poco::Net::HTTPClientSession>(this->target.ip, this->target.port);
+    session->setTimeout(Poco::Timespan{this->limit.count() * microseconds_per_millisecond});
+    session->setKeepAlive(true);
+    session->setKeepAliveTimeout(Poco::Timespan{session_idle_seconds, 0});
+    return session;
+}
+
+void http_platform::keep_session(std::unique_ptr<Poco::Net::HTTPClientSession> session) {
+    const std::lock_guard lock{this->mutex};
+    if (this->idle_sessions.size() < max_idle_sessions) {
+        this->idle_sessions.push_back(std::move(session));
+    }
+}
+
+result<http_platform::http_answer> http_platform::exchange(const http_call& call) {
+    auto session = this->take_session();
+    try {
+        Poco::Net::HTTPRequest request{call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1};
+        request.setKeepAlive(true);
+        request.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
+        if (!call.content_type.empty()) {
+            request.setContentType(call.content_type);
+        }
+        std::ostream& upload = session->sendRequest(request);
+        upload.write(call.body.data(), static_cast<std::streamsize>(call.body.size()));
+        upload.flush();
+        Poco::Net::HTTPResponse response;
+        std::istream& download = session->receiveResponse(response);
+        http_answer answer;
+        answer.status = response.getStatus();
+        Poco::StreamCopier::copyToString(download, answer.body);
+        // A body cut off by the server ends its stream without an exception.
+        if (response.hasContentLength() &&
+            response.getContentLength64() != static_cast<Poco::Int64>(answer.body.size())) {
+            return unavailable("answer was cut off");
+        }
+        if (answer.status >= http_status::HTTP_INTERNAL_SERVER_ERROR) {
+            return unavailable("status " + std::to_string(answer.status));
+        }
+        this->keep_session(std::move(session));
+        return answer;
+    } catch (const Poco::Exception& error) {
+        return unavailable(error.displayText());
+    } catch (const std::exception& error) {
+        return unavailable(error.what());
+    }
+}
+
+result<std::string> http_platform::post_json(const std::string& path, const std::string& body) {
+    const result<http_answer> answer = this->exchange({"POST", path, body, json_type});
+    if (!answer) {
+        return answer.last_error();
+    }
+    if (answer->status != http_status::HTTP_OK) {
+        return unavailable("status " + std::to_string(answer->status));
+    }
+    return answer->body;
+}
+
+result<std::optional<table_row>> http_platform::get(const std::string& key) {
+    const result<std::string> body = this->post_json("/v3/kv/range", json{{"key", encode_base64(key)}}.dump());
+    if (!body) {
+        return body.last_error();
+    }
+    try {
+        const std::vector<table_row> rows = parse_rows(*body);
+        return rows.empty() ? std::nullopt : std::optional{rows.front()};
+    } catch (const std::exception& error) {
+        return unavailable(error.what());
+    }
+}
+
+result<std::vector<table_row>> http_platform::list(const std::string& prefix) {
+    const json request{{"key", encode_base64(prefix)}, {"range_end", encode_base64(prefix_end(prefix))}};
+    const result<std::string> body = this->post_json("/v3/kv/range", request.dump());
+    if (!body) {
+        return body.last_error();
+    }
+    try {
+        return parse_rows(*body);
+    } catch (const std::exception& error) {
+        return unavailable(error.what());
+    }
+}
+
+result<transaction_outcome> http_platform::commit(const table_transaction& transaction) {
+    const result<std::string> body = this->post_json("/v3/kv/txn", to_json(transaction).dump());
+    if (!body) {
+        return body.last_error();
+    }
+    try {
+        const json answer = json::parse(*body);
+        return transaction_outcome{answer.value("succeeded", false), to_integer(answer.at("header").at("revision"))};
+    } catch (const std::exception& error) {
+        return unavailable(error.what());
+    }
+}
+
+result<std::optional<std::string>> http_platform::get_object(const std::string& name) {
+    result<http_answer> answer = this->exchange({"GET", object_path(name), "", ""});
+    if (!answer) {
+        return answer.last_error();
+    }
+    if (answer->status == http_status::HTTP_NOT_FOUND) {
+        return std::optional<std::string>{};
+    }
+    if (answer->status != http_status::HTTP_OK) {
+        return unavailable("status " + std::to_string(answer->status));
+    }
+    return std::optional{std::move(answer->body)};
+}
+
+result<done> http_platform::put_object(const std::string& name, const std::string& content) {
+    const result<http_answer> answer = this->exchange({"PUT", object_path(name), content, binary_type});
+    if (!answer) {
+        return answer.last_error();
+    }
+    if (answer->status >= http_status::HTTP_MULTIPLE_CHOICES) {
+        return unavailable("status " + std::to_string(answer->status));
+    }
+    return done{};
+}
+
+result<host_list_content> http_platform::read_hosts() {
+    const result<http_answer> answer = this->exchange({"GET", "/hosts", "", ""});
+    if (!answer) {
+        return answer.last_error();
+    }
+    try {
+        const json content = json::parse(answer->body);
+        return host_list_content{content.at("version").get<std::uint64_t>(),
+                                 content.at("leaving").get<std::vector<std::string>>()};
+    } catch (const std::exception& error) {
+        return unavailable(error.what());
+    }
+}
+
+result<done> http_platform::fetch_expert(const std::string& group, std::uint32_t layer, std::uint32_t expert,
+                                         std::uint32_t rank) {
+    std::string path;
+    Poco::URI::encode("/weights/" + group, "?#", path);
+    path += "/" + std::to_string(layer) + "/" + std::to_string(expert) + "?rank=" + std::to_string(rank);
+    const result<http_answer> answer = this->exchange({"POST", path, "", ""});
+    if (!answer) {
+        return answer.last_error();
+    }
+    if (answer->status == http_status::HTTP_TOO_MANY_REQUESTS) {
+        return failure{error_kind::overloaded, "weight store: rate used up"};
+    }
+    if (answer->status >= http_status::HTTP_MULTIPLE_CHOICES) {
+        return unavailable("status " + std::to_string(answer->status));
+    }
+    return done{};
+}
+
+std::unique_ptr<http_platform> make_platform_client(const net_address& server) {
+    return std::make_unique<http_platform>(server);
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/platform/http_platform.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "platform/host_list.h"
+#include "platform/object_store.h"
+#include "platform/table_service.h"
+#include "platform/weight_store.h"
+
+#include <pomelohoist/config.h>
+#include <pomelohoist/types.h>
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPResponse.h>
+
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+/// The platform's services over HTTP: the table in the published etcd v3 JSON form, the others as plain HTTP.
+namespace pomelohoist {
+
+/// Client of all services of the platform. Safe for several threads.
+class http_platform : public table_service, public object_store, public host_list, public weight_store {
+  public:
+    /// @param server address of the platform
+    /// @param timeout limit of connecting and of each wait for bytes
+    explicit http_platform(net_address server, std::chrono::milliseconds timeout = config::store_timeout);
+
+    result<std::optional<table_row>> get(const std::string& key) override;
+    result<std::vector<table_row>> list(const std::string& prefix) override;
+    result<transaction_outcome> commit(const table_transaction& transaction) override;
+    result<std::optional<std::string>> get_object(const std::string& name) override;
+    result<done> put_object(const std::string& name, const std::string& content) override;
+    result<host_list_content> read_hosts() override;
+    result<done> fetch_expert(const std::string& group, std::uint32_t layer, std::uint32_t expert,
+                              std::uint32_t rank) override;
+
+  private:
+    using http_status = Poco::Net::HTTPResponse::HTTPStatus;
+
+    struct http_call {
+        std::string method;
+        std::string path;
+        std::string body;
+        std::string content_type;
+    };
+
+    struct http_answer {
+        http_status status{http_status::HTTP_OK};
+        std::string body;
+    };
+
+    result<http_answer> exchange(const http_call& call);
+    result<std::string> post_json(const std::string& path, const std::string& body);
+    std::unique_ptr<Poco::Net::HTTPClientSession> take_session();
+    void keep_session(std::unique_ptr<Poco::Net::HTTPClientSession> session);
+
+    net_address target;
+    std::chrono::milliseconds limit;
+    std::mutex mutex;
+    std::vector<std::unique_ptr<Poco::Net::HTTPClientSession>> idle_sessions;
+};
+
+/// @returns a client with the timeout of the configuration
+std::unique_ptr<http_platform> make_platform_client(const net_address& server);
+
+} // namespace pomelohoist
--- /dev/null
+++ b/tests/lease/lease_test.cpp
@@ -0,0 +1,148 @@
+#include "lease/lease.h"
+
+#include "platform/memory_table.h"
+
+#include <pomelohoist/config.h>
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+namespace pomelohoist {
+namespace {
+
+using namespace std::chrono_literals;
+
+class lease_test : public testing::Test {
+  protected:
+    memory_table table;
+    manual_clock own_time;
+    manual_clock other_time;
+    lease own{this->table, this->own_time, "g", "own"};
+    lease other{this->table, this->other_time, "g", "other"};
+
+    void advance(std::chrono::milliseconds step) {
+        this->own_time.advance(step);
+        this->other_time.advance(step);
+    }
+};
+
+// Guards against a lease that lapses although its holder renews it, and against a second holder.
+TEST_F(lease_test, renewal_keeps_others_out) {
+    EXPECT_EQ(this->own.try_hold(), 1U);
+    for (int i = 0; i < 20; ++i) {
+        this->advance(1000ms);
+        EXPECT_EQ(this->own.try_hold(), 1U);
+        EXPECT_EQ(this->other.try_hold(), std::nullopt);
+    }
+}
+
+// Guards against a paused holder that believes in its lease, and against two holders at any moment.
+TEST_F(lease_test, paused_holder_does_not_hold_and_gets_a_higher_epoch) {
+    ASSERT_EQ(this->own.try_hold(), 1U);
+    EXPECT_EQ(this->other.try_hold(), std::nullopt);
+    fencing_gate gate;
+    for (int i = 0; i < 200; ++i) {
+        this->advance(50ms);
+        const auto taken = this->other.try_hold();
+        ASSERT_FALSE(taken && this->own.held_epoch()) << "two holders after " << i * 50 << " ms";
+        if (taken) {
+            break;
+        }
+    }
+    EXPECT_EQ(this->other.held_epoch(), 2U);
+    EXPECT_EQ(this->own.held_epoch(), std::nullopt);
+    EXPECT_EQ(this->own.try_hold(), std::nullopt);
+    EXPECT_TRUE(gate.admit(2));
+    EXPECT_FALSE(gate.admit(1)) << "an order of the paused holder was admitted";
+    EXPECT_TRUE(gate.admit(2));
+    EXPECT_EQ(gate.highest(), 2U);
+}
+
+// Guards against clocks of two hosts being compared: the challenger's clock is days ahead.
+TEST_F(lease_test, clocks_of_hosts_are_not_compared) {
+    this->other_time.advance(24h);
+    ASSERT_EQ(this->own.try_hold(), 1U);
+    EXPECT_EQ(this->other.try_hold(), std::nullopt);
+    this->other_time.advance(config::lease_lifetime);
+    EXPECT_EQ(this->other.try_hold(), std::nullopt);
+}
+
+// Guards against a write whose answer was lost and whose epoch nobody uses or two use.
+TEST_F(lease_test, lost_answer_is_read_back) {
+    this->table.faults().lose_answers(1);
+    EXPECT_EQ(this->own.try_hold(), 1U);
+    this->advance(1s);
+    this->table.faults().lose_answers(1);
+    EXPECT_EQ(this->own.try_hold(), 1U);
+    this->advance(config::lease_lifetime - 1ms);
+    EXPECT_EQ(this->own.held_epoch(), 1U) << "the renewal did not count";
+    EXPECT_EQ(this->other.try_hold(), std::nullopt);
+}
+
+// Guards against an acquisition that is lost for good when the reading back fails as well.
+TEST_F(lease_test, unresolved_answer_is_resolved_by_the_next_call) {
+    this->table.set_before_commit([this] { this->table.faults().fail_reads(1); });
+    this->table.faults().lose_answers(1);
+    EXPECT_EQ(this->own.try_hold(), std::nullopt);
+    this->table.set_before_commit({});
+    EXPECT_EQ(this->own.try_hold(), 1U);
+}
+
+// Guards against an outage that ends a lease early or lets it live on past its lifetime.
+TEST_F(lease_test, outage_ends_the_lease_at_its_lifetime) {
+    ASSERT_EQ(this->own.try_hold(), 1U);
+    this->table.faults().set_down(true);
+    this->advance(config::lease_lifetime - 1ms);
+    EXPECT_EQ(this->own.try_hold(), 1U);
+    this->advance(1ms);
+    EXPECT_EQ(this->own.try_hold(), std::nullopt);
+    this->table.faults().set_down(false);
+    EXPECT_EQ(this->own.try_hold(), 1U) << "nobody took the row, so the epoch is unchanged";
+}
+
+// Guards against epochs that fall after a release, and against a release that makes others wait.
+TEST_F(lease_test, release_frees_at_once_and_keeps_the_epoch) {
+    ASSERT_EQ(this->own.try_hold(), 1U);
+    this->own.release();
+    EXPECT_EQ(this->own.held_epoch(), std::nullopt);
+    EXPECT_EQ(this->other.try_hold(), 2U);
+    this->other.release();
+    EXPECT_EQ(this->own.try_hold(), 3U);
+}
+
+// Guards against a restarted process that goes on under the epoch of its predecessor.
+TEST_F(lease_test, restarted_process_of_the_same_name_waits_and_raises_the_epoch) {
+    ASSERT_EQ(this->own.try_hold(), 1U);
+    lease restarted{this->table, this->own_time, "g", "own"};
+    EXPECT_EQ(restarted.try_hold(), std::nullopt);
+    this->advance(config::lease_lifetime + config::lease_margin);
+    EXPECT_EQ(restarted.try_hold(), 2U);
+}
+
+// Guards against two winners of one expired lease.
+TEST_F(lease_test, one_of_several_challengers_wins) {
+    ASSERT_EQ(this->own.try_hold(), 1U);
+    std::vector<std::unique_ptr<lease>> challengers;
+    challengers.reserve(8);
+    for (int i = 0; i < 8; ++i) {
+        challengers.push_back(std::make_unique<lease>(this->table, this->own_time, "g", "c" + std::to_string(i)));
+        EXPECT_EQ(challengers.back()->try_hold(), std::nullopt);
+    }
+    this->advance(config::lease_lifetime + config::lease_margin);
+    std::atomic<int> winners{0};
+    std::vector<std::thread> threads;
+    threads.reserve(challengers.size());
+    for (const auto& challenger : challengers) {
+        threads.emplace_back([&] { winners += challenger->try_hold() == 2U ? 1 : 0; });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    EXPECT_EQ(winners, 1);
+}
+
+} // namespace
+} // namespace pomelohoist
