--- /dev/null
+++ b/src/spread/configuration_state.cpp
@@ -0,0 +1,159 @@
+#include "spread/configuration_state.h"
+
+#include "spread/configuration_codec.h"
+
+#include <pomelohoist/config.h>
+
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+// Keeps replies well below the size limit of a frame; more deltas than this cost more than a snapshot.
+constexpr std::size_t max_reply_delta_bytes = 1U << 20U;
+
+} // namespace
+
+configuration_state::configuration_state() : in_force(std::make_shared<const configuration>()) {}
+
+configuration_ptr configuration_state::current() const {
+    const std::lock_guard lock{this->mutex};
+    return this->in_force;
+}
+
+std::uint64_t configuration_state::host_list_version() const {
+    const std::lock_guard lock{this->mutex};
+    return this->hosts_version;
+}
+
+bool configuration_state::is_leaving(const std::string& host) const {
+    const std::lock_guard lock{this->mutex};
+    return this->leaving.contains(host);
+}
+
+void configuration_state::publish(configuration newest, std::vector<encoded_delta> deltas) {
+    configuration_ptr next = std::make_shared<const configuration>(std::move(newest));
+    const std::lock_guard lock{this->mutex};
+    if (deltas.empty()) {
+        this->recent.clear();
+    }
+    for (encoded_delta& delta : deltas) {
+        this->recent.push_back(std::move(delta));
+    }
+    while (this->recent.size() > config::max_recent_deltas) {
+        this->recent.pop_front();
+    }
+    this->in_force.swap(next);
+}
+
+void configuration_state::take_configuration(configuration newest) {
+    const std::lock_guard building{this->take_mutex};
+    if (newest.version() > this->current()->version()) {
+        this->publish(std::move(newest), {});
+    }
+}
+
+result<done> configuration_state::take_deltas(const std::vector<configuration_delta>& deltas) {
+    const std::lock_guard building{this->take_mutex};
+    const configuration_ptr base = this->current();
+    configuration newest;
+    std::vector<encoded_delta> taken;
+    for (const configuration_delta& delta : deltas) {
+        if (delta.version <= base->version()) {
+            continue;
+        }
+        const configuration& previous = taken.empty() ? *base : newest;
+        if (delta.version != previous.version() + 1) {
+            return failure{error_kind::bad_request, "delta " + std::to_string(delta.version) +
+                                                        " does not follow version " +
+                                                        std::to_string(previous.version())};
+        }
+        result<configuration> next = previous.apply(delta);
+        if (!next) {
+            return failure{error_kind::bad_request, "delta " + std::to_string(delta.version) +
+                                                        " cannot be applied: " + next.last_error().reason};
+        }
+        newest = std::move(*next);
+        taken.push_back({delta.version, encode_delta(delta)});
+    }
+    if (!taken.empty()) {
+        this->publish(std::move(newest), std::move(taken));
+    }
+    return done{};
+}
+
+result<done> configuration_state::take_reply(const inner::pull_reply& reply) {
+    if (reply.host_list_version > this->host_list_version()) {
+        this->take_hosts({reply.host_list_version, reply.leaving_hosts});
+    }
+    if (!reply.snapshot.empty()) {
+        result<configuration> snapshot = decode_configuration(reply.snapshot);
+        if (!snapshot) {
+            return snapshot.last_error();
+        }
+        this->take_configuration(std::move(*snapshot));
+    }
+    std::vector<configuration_delta> deltas;
+    for (const std::string& bytes : reply.deltas) {
+        result<configuration_delta> delta = decode_delta(bytes);
+        if (!delta) {
+            return delta.last_error();
+        }
+        deltas.push_back(std::move(*delta));
+    }
+    return this->take_deltas(deltas);
+}
+
+void configuration_state::take_hosts(const host_list_content& content) {
+    const std::lock_guard lock{this->mutex};
+    if (content.version > this->hosts_version) {
+        this->hosts_version = content.version;
+        this->leaving = {content.leaving.begin(), content.leaving.end()};
+    }
+}
+
+std::vector<std::string> configuration_state::deltas_after(std::uint64_t version) const {
+    std::vector<std::string> deltas;
+    std::size_t bytes = 0;
+    if (this->recent.empty() || this->recent.front().version > version + 1) {
+        return deltas;
+    }
+    for (const encoded_delta& delta : this->recent) {
+        if (delta.version > version) {
+            deltas.push_back(delta.bytes);
+            bytes += delta.bytes.size();
+        }
+    }
+    return bytes > max_reply_delta_bytes ? std::vector<std::string>{} : deltas;
+}
+
+std::string configuration_state::encoded_snapshot(const configuration& content) {
+    const std::lock_guard lock{this->snapshot_mutex};
+    if (this->snapshot_version != content.version()) {
+        this->snapshot_bytes = encode_configuration(content);
+        this->snapshot_version = content.version();
+    }
+    return this->snapshot_bytes;
+}
+
+inner::pull_reply configuration_state::answer(const inner::pull_request& request) {
+    inner::pull_reply reply;
+    configuration_ptr newest;
+    {
+        const std::lock_guard lock{this->mutex};
+        newest = this->in_force;
+        reply.deltas = this->deltas_after(request.configuration_version);
+        reply.host_list_version = this->hosts_version;
+        if (this->hosts_version > request.host_list_version) {
+            reply.leaving_hosts.assign(this->leaving.begin(), this->leaving.end());
+        }
+    }
+    reply.configuration_version = newest->version();
+    if (newest->version() > request.configuration_version && reply.deltas.empty()) {
+        reply.snapshot = this->encoded_snapshot(*newest);
+    }
+    return reply;
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/spread/peer_set.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "common/random_source.h"
+#include "declaration/configuration.h"
+
+#include <pomelohoist/clock.h>
+#include <pomelohoist/types.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+/// The other processes that a process knows.
+namespace pomelohoist {
+
+struct peer {
+    net_address inner;
+    std::string data_centre;
+
+    friend bool operator==(const peer&, const peer&) = default;
+};
+
+/// Where a process learns of others before it has a configuration.
+class peer_directory {
+  public:
+    virtual ~peer_directory() = default;
+    /// @returns the peers to start with
+    virtual std::vector<peer> seeds() = 0;
+};
+
+/// Seeds from the settings file.
+class fixed_peers : public peer_directory {
+  public:
+    explicit fixed_peers(std::vector<peer> from_settings) : list(std::move(from_settings)) {}
+    std::vector<peer> seeds() override { return this->list; }
+
+  private:
+    std::vector<peer> list;
+};
+
+/// Seeds, agents of the declared endpoints, and processes that have announced themselves. Safe for several threads.
+class peer_set {
+  public:
+    peer_set(const clock& time_source, net_address own_address, std::string own_data_centre);
+
+    void add_seeds(const std::vector<peer>& seeds);
+    /// Replaces the agents of the declared endpoints.
+    void set_declared(const configuration& declared);
+    /// Remembers for a while a process that has announced itself.
+    void hear_from(const net_address& address, const std::string& data_centre);
+
+    [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] std::vector<net_address> all() const;
+    /// @returns up to `number` random peers; of four, on average three of the own data centre
+    [[nodiscard]] std::vector<net_address> choose(std::size_t number, random_source& random);
+
+  private:
+    enum class origin : std::uint8_t { seed, declared, heard, count };
+
+    struct known_peer {
+        std::string data_centre;
+        origin source{origin::seed};
+        steady_time heard_at{};
+    };
+
+    void rebuild();
+
+    const clock& time;
+    net_address own;
+    std::string centre;
+    mutable std::mutex mutex;
+    std::map<net_address, known_peer> peers;
+    std::vector<net_address> near; ///< of the own data centre
+    std::vector<net_address> far;
+    steady_time rebuilt_at{};
+};
+
+} // namespace pomelohoist
