Add tunables of the entry and of routing

The entry needs limits for deadlines, retries, JSON depth and answers, and routing needs the times for which failed and draining endpoints are avoided. All tunables live in config.h, so they are added there; no existing constant is changed.

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -36,6 +36,16 @@
 inline constexpr std::chrono::milliseconds retry_backoff_base{20};
 inline constexpr std::chrono::milliseconds retry_backoff_cap{500};
 inline constexpr std::chrono::milliseconds default_request_deadline{60000};
+inline constexpr std::chrono::milliseconds max_request_deadline{3600000};
+inline constexpr double retry_budget_cap = 200.0;
+inline constexpr std::uint32_t max_configuration_pulls = 3;
+inline constexpr std::chrono::milliseconds outcome_timeout{1000};
+inline constexpr std::chrono::milliseconds avoid_failed_time{1000};
+inline constexpr std::chrono::milliseconds avoid_draining_time{5000};
+inline constexpr std::size_t affinity_candidates = 2;
+inline constexpr std::size_t prefix_hash_bytes = 512;
+inline constexpr std::uint32_t bytes_per_token = 4;
+inline constexpr std::uint32_t default_output_tokens = 256;
 
 // Crash suspects.
 inline constexpr std::uint32_t quarantine_deaths = 2;
@@ -64,6 +74,11 @@
 inline constexpr std::size_t max_body_bytes = 4U << 20U;
 inline constexpr std::chrono::milliseconds body_read_timeout{10000};
 inline constexpr std::uint16_t max_entry_connections = 1024;
+inline constexpr int entry_thread_stack_bytes = 256 * 1024;
+inline constexpr int max_json_depth = 64;
+inline constexpr std::size_t max_answer_bytes = 16U << 20U;
+inline constexpr std::size_t max_request_id_bytes = 64;
+inline constexpr std::chrono::milliseconds caller_watch_interval{100};
 
 // Shutdown.
 inline constexpr std::chrono::milliseconds shutdown_grace{60000};
