--- /dev/null
+++ b/src/routing/candidate_policy_affinity.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "common/random_source.h"
+
+#include <pomelohoist/routing.h>
+
+#include <vector>
+
+namespace pomelohoist {
+
+/// Up to `config::affinity_candidates` endpoints by rendezvous hashing of the prompt's prefix, the rest random.
+class candidate_policy_affinity : public candidate_policy {
+  public:
+    explicit candidate_policy_affinity(random_source& source) : random(source) {}
+    std::vector<endpoint_handle> pick(const routing_query& query,
+                                      const std::vector<routing_candidate>& reachable) override;
+
+  private:
+    random_source& random;
+};
+
+} // namespace pomelohoist
