Add the entry: HTTP front, forwarding, retries, claims and answer streams

Callers need one process that takes their requests to an endpoint and tells the truth about what ran. A claim of "not run" takes a proof object that only the attempt log gives: no run sent, run refused, or cancel answered not_started. A failed write of the run message is no proof. Anything else of a non-idempotent request ends as outcome_unknown. Ruled out: reporting a suspect on every broken connection; an agent that still knows the ticket is alive, and its request would be quarantined for a network fault.

--- /dev/null
+++ b/src/entry/answer_buffer.cpp
@@ -0,0 +1,27 @@
+#include "entry/answer_buffer.h"
+
+#include <pomelohoist/config.h>
+
+#include <Poco/String.h>
+
+namespace pomelohoist {
+
+result<done> answer_buffer::take_head(const inner::run_head& head) {
+    this->answer.http_status = head.http_status;
+    for (const inner::header_field& field : head.headers) {
+        if (Poco::icompare(field.name, "content-type") == 0) {
+            this->answer.content_type = field.value;
+        }
+    }
+    return done{};
+}
+
+result<done> answer_buffer::take_data(const std::string& data) {
+    if (this->answer.body.size() + data.size() > config::max_answer_bytes) {
+        return failure{error_kind::endpoint_failed, "the answer is too large to be kept"};
+    }
+    this->answer.body += data;
+    return done{};
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/entry/answer_sink.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "entry/error_reply.h"
+#include "inner/messages.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pomelohoist {
+
+/// A whole answer for the caller.
+struct whole_answer {
+    std::uint16_t http_status{0};
+    std::vector<inner::header_field> headers;
+    std::string body;
+
+    friend bool operator==(const whole_answer&, const whole_answer&) = default;
+};
+
+/// The way back to the caller.
+/// @attention used by one thread, but for `is_gone`
+class answer_sink {
+  public:
+    virtual ~answer_sink() = default;
+    /// Adds a field to the answer that has not begun yet.
+    virtual void add_header(const std::string& name, const std::string& value) = 0;
+    virtual void send_whole(const whole_answer& answer) = 0;
+    /// Begins an answer that is sent in pieces.
+    virtual void begin_stream(std::uint16_t http_status, const std::vector<inner::header_field>& headers) = 0;
+    /// @returns false when the caller is gone
+    virtual bool send_piece(const std::string& data) = 0;
+    /// Ends the pieces.
+    virtual void end_stream() = 0;
+    virtual void send_failure(const request_failure& failed) = 0;
+    /// @returns true when the caller has closed the connection; safe for any thread
+    [[nodiscard]] virtual bool is_gone() = 0;
+};
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/entry/answer_stream.cpp
@@ -0,0 +1,149 @@
+#include "entry/answer_stream.h"
+
+#include "entry/stream_event.h"
+
+#include <pomelohoist/config.h>
+
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <string_view>
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+constexpr std::array<std::string_view, 6> hop_headers{"connection", "content-length",    "keep-alive",
+                                                      "trailer",    "transfer-encoding", "upgrade"};
+constexpr std::uint16_t http_ok = 200;
+
+bool is_event_stream(const inner::run_head& head) {
+    return std::any_of(head.headers.begin(), head.headers.end(), [](const inner::header_field& field) {
+        return Poco::icompare(field.name, "content-type") == 0 &&
+               Poco::toLower(field.value).starts_with("text/event-stream");
+    });
+}
+
+} // namespace
+
+std::vector<inner::header_field> caller_headers(const std::vector<inner::header_field>& fields) {
+    std::vector<inner::header_field> kept;
+    std::copy_if(fields.begin(), fields.end(), std::back_inserter(kept), [](const inner::header_field& field) {
+        const std::string lower = Poco::toLower(field.name);
+        return std::find(hop_headers.begin(), hop_headers.end(), lower) == hop_headers.end();
+    });
+    return kept;
+}
+
+answer_stream::answer_stream(const entry_request& asked, answer_sink& caller) : request(asked), sink(caller) {}
+
+void answer_stream::prepare_attempt() {
+    this->received_head = {};
+    this->pending.clear();
+    this->streaming = false;
+    this->closing = false;
+    this->attempt_has_text = false;
+    this->attempt_resumes = this->begun;
+}
+
+result<done> answer_stream::take_head(const inner::run_head& head) {
+    this->received_head = head;
+    this->streaming = this->request.stream && is_event_stream(head);
+    if (this->begun && (!this->streaming || head.http_status != http_ok)) {
+        return failure{error_kind::endpoint_failed, "the stream could not be resumed"};
+    }
+    return done{};
+}
+
+result<done> answer_stream::take_data(const std::string& data) {
+    this->pending += data;
+    if (this->pending.size() > config::max_answer_bytes) {
+        return failure{error_kind::endpoint_failed, "the answer is too large to be checked as a whole"};
+    }
+    if (!this->streaming) {
+        return done{};
+    }
+    // Only whole events are passed on, so that a resumed stream continues between two events.
+    while (!this->closing) {
+        const std::optional<std::string> event = take_event(this->pending);
+        if (!event) {
+            break;
+        }
+        result<done> taken = this->take_event_text(*event);
+        if (!taken) {
+            return taken;
+        }
+    }
+    return done{};
+}
+
+result<done> answer_stream::take_event_text(const std::string& event) {
+    const stream_event_kind kind = kind_of_event(event);
+    if (kind == stream_event_kind::closing) {
+        // Held back until the end record: without it the caller must not see a normal end.
+        this->closing = true;
+        this->pending.insert(0, event);
+        return done{};
+    }
+    if (kind == stream_event_kind::error) {
+        return failure{error_kind::endpoint_failed, "the engine reported an error in the stream"};
+    }
+    if (kind == stream_event_kind::opening && this->begun && !this->attempt_has_text && this->attempt_resumes) {
+        // The caller has the opening events of the first attempt.
+        return done{};
+    }
+    this->attempt_has_text = this->attempt_has_text || kind == stream_event_kind::text;
+    result<done> sent = this->send_event(event);
+    this->tokens += kind == stream_event_kind::text ? 1 : 0;
+    return sent;
+}
+
+result<done> answer_stream::send_event(const std::string& event) {
+    if (!this->begun) {
+        this->sink.begin_stream(this->received_head.http_status, caller_headers(this->received_head.headers));
+        this->begun = true;
+    }
+    return this->send_piece(event);
+}
+
+result<done> answer_stream::send_piece(const std::string& piece) {
+    if (this->caller_gone) {
+        return done{};
+    }
+    this->caller_gone = !this->sink.send_piece(piece);
+    // A non-idempotent run goes on without its caller: breaking it off would leave its outcome unknown.
+    if (this->caller_gone && this->request.idempotent) {
+        return failure{error_kind::unreachable, "the caller is gone"};
+    }
+    return done{};
+}
+
+void answer_stream::finish() {
+    if (!this->begun && !this->streaming) {
+        this->sink.send_whole(
+            {this->received_head.http_status, caller_headers(this->received_head.headers), std::move(this->pending)});
+        return;
+    }
+    if (!this->begun) {
+        this->sink.begin_stream(this->received_head.http_status, caller_headers(this->received_head.headers));
+        this->begun = true;
+    }
+    if (!this->pending.empty()) {
+        this->send_piece(this->pending);
+    }
+    this->sink.end_stream();
+}
+
+void answer_stream::fail(const request_failure& failed) {
+    if (!this->begun) {
+        this->sink.send_failure(failed);
+        return;
+    }
+    this->send_piece(make_error_event(failed));
+    this->sink.end_stream();
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/entry/claimed_forwarder.cpp
@@ -0,0 +1,216 @@
+#include "entry/claimed_forwarder.h"
+
+#include <pomelohoist/config.h>
+
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+constexpr std::size_t attempt_id_bytes = 16;
+
+failure store_failure(const failure& reason) {
+    return {error_kind::store_unavailable,
+            "this attempt was not run, because the claim could not be made: " + reason.reason};
+}
+
+} // namespace
+
+struct claimed_forwarder::claimed_request {
+    const entry_request& request;
+    answer_sink& caller;
+    retry_state rounds;
+    attempt_log log;
+    answer_buffer answer;
+    std::optional<claim_record> previous; ///< claim of an attempt that is proved not to have run
+    forward_outcome outcome;
+};
+
+claimed_forwarder::claimed_forwarder(const forward_services& shared, std::string process_name, claim_access& rows)
+    : services(shared), name(std::move(process_name)), claims(rows),
+      retries(shared.context.metrics.get_counter("entry_retries_total")) {}
+
+forward_outcome claimed_forwarder::forward(const entry_request& request, answer_sink& caller,
+                                           const trace_context& parent) {
+    claimed_request claimed{
+        request, caller, {this->services.context.time, this->services.budget, this->retries}, {}, {}, std::nullopt, {}};
+    while (true) {
+        const reserve_outcome reserved = this->services.tickets.reserve(request, claimed.rounds.tried, parent);
+        if (!reserved.accepted) {
+            if (reserved.refused.retryable && claimed.rounds.pause(request, reserved.refused.spends_budget)) {
+                continue;
+            }
+            return this->refuse(claimed, reserved.refused);
+        }
+        claimed.log.note_reserved(reserved.accepted->granted.granted);
+        const std::optional<claim_record> own = this->obtain_claim(claimed, *reserved.accepted);
+        if (!own) {
+            this->services.canceller.cancel_later(reserved.accepted->target.agent, reserved.accepted->granted.granted,
+                                                  false);
+            return claimed.outcome;
+        }
+        const std::optional<forward_outcome> ended = this->run_claimed(claimed, *reserved.accepted, *own, parent);
+        if (ended) {
+            return *ended;
+        }
+        claimed.previous = own;
+        claimed.rounds.tried.insert(reserved.accepted->target.name);
+    }
+}
+
+// Without a ticket the request cannot run now, but an earlier attempt under the key may have run, and a resend must be
+// told so.
+forward_outcome claimed_forwarder::refuse(claimed_request& claimed, const reserve_refusal& refused) {
+    const request_failure not_accepted{refused.reason, claimed.log.proof(), refused.retry_after};
+    if (claimed.previous) {
+        this->send_failure(claimed, not_accepted);
+        return claimed.outcome;
+    }
+    const result<std::optional<claim_record>> found = this->claims.find(claimed.request);
+    if (!found) {
+        this->send_failure(claimed, {store_failure(found.last_error()), claimed.log.proof(), {}});
+        return claimed.outcome;
+    }
+    if (!*found) {
+        this->send_failure(claimed, not_accepted);
+        return claimed.outcome;
+    }
+    const resolution known = this->resolve(claimed, **found);
+    if (known.may_take_over) {
+        this->send_failure(claimed, not_accepted);
+    } else {
+        this->send_resolution(claimed, known);
+    }
+    return claimed.outcome;
+}
+
+// Returns the claim of this attempt, or nothing when the caller has been answered.
+std::optional<claim_record> claimed_forwarder::obtain_claim(claimed_request& claimed, const reservation& accepted) {
+    claim wanted;
+    wanted.attempt = this->services.context.random.next_hex(attempt_id_bytes);
+    wanted.body_digest = claimed.request.digest;
+    wanted.agent = accepted.target.agent;
+    wanted.granted = accepted.granted.granted;
+    result<claim_record> standing = claimed.previous
+                                        ? this->claims.take_over(claimed.request, *claimed.previous, wanted)
+                                        : this->claims.insert(claimed.request, wanted);
+    for (std::uint32_t round = 0; round < config::max_attempts; ++round) {
+        if (!standing) {
+            this->send_failure(claimed, {store_failure(standing.last_error()), claimed.log.proof(), {}});
+            return std::nullopt;
+        }
+        if (standing->content.attempt == wanted.attempt) {
+            return *standing;
+        }
+        const resolution known = this->resolve(claimed, *standing);
+        if (!known.may_take_over) {
+            this->send_resolution(claimed, known);
+            return std::nullopt;
+        }
+        const claim_record previous = *standing;
+        standing = this->claims.take_over(claimed.request, previous, wanted);
+    }
+    this->send_failure(claimed, {{error_kind::in_progress, "other attempts hold the claim"}, std::nullopt, {}});
+    return std::nullopt;
+}
+
+// Returns nothing when the request is proved not to have run and may be tried again.
+std::optional<forward_outcome> claimed_forwarder::run_claimed(claimed_request& claimed, const reservation& accepted,
+                                                              const claim_record& own, const trace_context& parent) {
+    claimed.answer.clear();
+    const run_report report = this->services.runner.run(
+        {claimed.request, accepted, claimed.answer, claimed.caller, claimed.log, parent, claimed.request.body, true});
+    if (report.ending != run_ending::whole) {
+        return this->settle(claimed, own, report);
+    }
+    const result<done> stored = this->claims.complete(claimed.request, own, claimed.answer.content());
+    if (!stored) {
+        // The agent keeps the answer, so a resend still gets it.
+        this->services.context.log.warn("claim_not_completed", {{"request_id", claimed.request.request_id},
+                                                                {"reason", stored.last_error().reason}});
+    }
+    this->send_answer(claimed, claimed.answer.content());
+    return claimed.outcome;
+}
+
+std::optional<forward_outcome> claimed_forwarder::settle(claimed_request& claimed, const claim_record& own,
+                                                         const run_report& report) {
+    if (!claimed.log.proof()) {
+        // The connection may have broken under a run that goes on or has ended; its agent knows.
+        const resolution known = this->resolve(claimed, own);
+        if (!known.may_take_over) {
+            this->send_resolution(claimed, known);
+            return claimed.outcome;
+        }
+        claimed.log.note_ticket_state(inner::ticket_state::not_started);
+    }
+    if (is_transient(report) && claimed.rounds.pause(claimed.request, true)) {
+        return std::nullopt;
+    }
+    this->send_failure(claimed, judge_failure(report.reason, claimed.log, false));
+    return claimed.outcome;
+}
+
+claimed_forwarder::resolution claimed_forwarder::resolve(const claimed_request& claimed, const claim_record& found) {
+    if (found.content.body_digest != claimed.request.digest) {
+        return {false,
+                std::nullopt,
+                {error_kind::idempotency_conflict, "the key was used for another request of this workspace"}};
+    }
+    if (found.content.state == claim_state::completed && found.content.answer) {
+        return {false, found.content.answer, {}};
+    }
+    return this->ask_outcome(claimed, found);
+}
+
+claimed_forwarder::resolution claimed_forwarder::ask_outcome(const claimed_request& claimed,
+                                                             const claim_record& found) {
+    const auto reply = inner::call_stream<inner::outcome_reply>(
+        found.content.agent, this->name, inner::outcome_request{found.content.granted}, config::outcome_timeout);
+    if (!reply) {
+        return {false,
+                std::nullopt,
+                {error_kind::outcome_unknown,
+                 "the agent that got the request does not answer: " + reply.last_error().reason}};
+    }
+    switch (reply->state) {
+    case inner::ticket_state::not_started:
+        return {true, std::nullopt, {}};
+    case inner::ticket_state::running:
+        return {false, std::nullopt, {error_kind::in_progress, "the request is running"}};
+    case inner::ticket_state::completed:
+        if (reply->answer) {
+            this->claims.complete(claimed.request, found, *reply->answer);
+            return {false, reply->answer, {}};
+        }
+        break;
+    default:
+        break;
+    }
+    return {false, std::nullopt, {error_kind::outcome_unknown, "the request may have run; its answer is not known"}};
+}
+
+void claimed_forwarder::send_resolution(claimed_request& claimed, const resolution& known) {
+    if (known.answer) {
+        this->send_answer(claimed, *known.answer);
+        return;
+    }
+    this->send_failure(claimed, {known.reason, claimed.log.proof(), {}});
+}
+
+void claimed_forwarder::send_answer(claimed_request& claimed, const inner::stored_answer& answer) {
+    std::vector<inner::header_field> headers;
+    if (!answer.content_type.empty()) {
+        headers.push_back({"Content-Type", answer.content_type});
+    }
+    claimed.caller.send_whole({answer.http_status, headers, answer.body});
+    claimed.outcome = {std::nullopt, claimed.caller.is_gone()};
+}
+
+void claimed_forwarder::send_failure(claimed_request& claimed, const request_failure& failed) {
+    claimed.caller.send_failure(failed);
+    claimed.outcome = {failed.reason.kind, claimed.caller.is_gone()};
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/entry/claimed_forwarder.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "entry/answer_buffer.h"
+#include "entry/claim_access.h"
+#include "entry/forwarder.h"
+
+#include <optional>
+#include <string>
+
+namespace pomelohoist {
+
+/// Forwards requests with an idempotency key: at most one run under a key, through whichever entry it is sent.
+class claimed_forwarder {
+  public:
+    /// @param process_name sent with each packet
+    claimed_forwarder(const forward_services& shared, std::string process_name, claim_access& rows);
+
+    /// Sends exactly one answer or failure to the caller.
+    forward_outcome forward(const entry_request& request, answer_sink& caller, const trace_context& parent);
+
+  private:
+    struct claimed_request;
+    /// What is known about the run that a claim stands for.
+    struct resolution {
+        bool may_take_over{false}; ///< proved not to have run
+        std::optional<inner::stored_answer> answer;
+        failure reason; ///< meaningful without answer and proof
+    };
+
+    forward_outcome refuse(claimed_request& claimed, const reserve_refusal& refused);
+    std::optional<claim_record> obtain_claim(claimed_request& claimed, const reservation& accepted);
+    std::optional<forward_outcome> run_claimed(claimed_request& claimed, const reservation& accepted,
+                                               const claim_record& own, const trace_context& parent);
+    std::optional<forward_outcome> settle(claimed_request& claimed, const claim_record& own, const run_report& report);
+    resolution resolve(const claimed_request& claimed, const claim_record& found);
+    resolution ask_outcome(const claimed_request& claimed, const claim_record& found);
+    void send_resolution(claimed_request& claimed, const resolution& known);
+    void send_answer(claimed_request& claimed, const inner::stored_answer& answer);
+    void send_failure(claimed_request& claimed, const request_failure& failed);
+
+    const forward_services& services;
+    std::string name;
+    claim_access& claims;
+    counter& retries;
+};
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/entry/entry_daemon.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "common/daemon.h"
+#include "entry/claim_access.h"
+#include "inner/datagram_endpoint.h"
+#include "platform/table_service.h"
+#include "spread/configuration_source.h"
+
+#include <memory>
+
+/// The process `pomelohoist-entry`.
+namespace pomelohoist {
+
+/// What an entry gets from the platform.
+struct entry_platform {
+    std::unique_ptr<table_service> table;
+    std::unique_ptr<claim_access> claims;                 ///< uses the table
+    std::unique_ptr<configuration_source> configurations; ///< uses the table and the datagram endpoint
+};
+
+/// Connects an entry to the platform.
+class entry_platform_factory {
+  public:
+    virtual ~entry_platform_factory() = default;
+    /// @param calls socket for announcements and pulls, outlives the result
+    virtual result<entry_platform> connect(const settings& checked, const daemon_context& context,
+                                           inner::datagram_endpoint& calls) = 0;
+};
+
+class entry_daemon_factory : public daemon_factory {
+  public:
+    /// @param connector must outlive the factory's daemons
+    explicit entry_daemon_factory(entry_platform_factory& connector) : platform(connector) {}
+
+    /// Keys http.address, inner.address, platform.address and peers.seeds.
+    [[nodiscard]] settings_schema schema() const override;
+    std::unique_ptr<daemon> create(const settings& checked, const daemon_context& context) override;
+
+  private:
+    entry_platform_factory& platform;
+};
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/entry/entry_service.cpp
@@ -0,0 +1,116 @@
+#include "entry/entry_service.h"
+
+namespace pomelohoist {
+
+namespace {
+
+class gate_pass {
+  public:
+    explicit gate_pass(service_gate& entered) : gate(entered), admitted(entered.enter()) {}
+    ~gate_pass() {
+        if (this->admitted) {
+            this->gate.leave();
+        }
+    }
+    gate_pass(const gate_pass&) = delete;
+    gate_pass& operator=(const gate_pass&) = delete;
+    [[nodiscard]] bool is_admitted() const { return this->admitted; }
+
+  private:
+    service_gate& gate;
+    bool admitted;
+};
+
+std::string kind_of(const forward_outcome& outcome) {
+    if (outcome.caller_gone) {
+        return "caller_gone";
+    }
+    return outcome.failed ? std::string{answer_of(*outcome.failed).name} : "ok";
+}
+
+} // namespace
+
+entry_service::entry_service(const forward_services& shared, configuration_source& source, forwarder& without_key,
+                             claimed_forwarder& with_key, service_gate& admission)
+    : services(shared), configurations(source), plain(without_key), claimed(with_key), gate(admission),
+      parser(shared.context.time, shared.context.random) {
+    shared.context.metrics.add_gauge("entry_open_streams",
+                                     [this] { return static_cast<double>(this->open_streams.load()); });
+    shared.context.metrics.add_gauge("entry_active_requests",
+                                     [this] { return static_cast<double>(this->gate.active()); });
+}
+
+void entry_service::serve(const raw_request& raw, steady_time arrived, answer_sink& caller) {
+    const std::string request_id = this->parser.choose_request_id(raw);
+    caller.add_header("X-Request-Id", request_id);
+    scoped_span span{this->services.context.spans, this->services.context.time, this->services.context.random,
+                     "entry.request", trace_context::parse(raw.header("traceparent").value_or(""))};
+    span.set("request_id", request_id);
+    caller.add_header("traceparent", span.context().to_traceparent());
+    const gate_pass pass{this->gate};
+    const forward_outcome outcome = pass.is_admitted()
+                                        ? this->answer(raw, request_id, arrived, caller, span)
+                                        : this->fail({error_kind::draining, "this entry is stopping"}, caller);
+    if (outcome.failed) {
+        span.mark_failed(kind_of(outcome));
+    }
+    this->note(request_id, outcome, arrived);
+}
+
+void entry_service::refuse(const raw_request& raw, const failure& reason, answer_sink& caller) {
+    const std::string request_id = this->parser.choose_request_id(raw);
+    caller.add_header("X-Request-Id", request_id);
+    this->note(request_id, this->fail(reason, caller), this->services.context.time.now());
+}
+
+forward_outcome entry_service::answer(const raw_request& raw, const std::string& request_id, steady_time arrived,
+                                      answer_sink& caller, scoped_span& span) {
+    const configuration_ptr declared = this->configurations.current();
+    if (!declared || declared->version() == 0) {
+        return this->fail({error_kind::not_ready, "this entry has no configuration yet"}, caller);
+    }
+    const result<entry_request> request = this->parser.parse(raw, *declared, request_id, arrived);
+    if (!request) {
+        return this->fail(request.last_error(), caller);
+    }
+    return this->forward(*request, caller, span);
+}
+
+forward_outcome entry_service::forward(const entry_request& request, answer_sink& caller, scoped_span& span) {
+    span.set("workspace", request.workspace);
+    span.set("application", request.application);
+    span.set("serves", request.serves);
+    this->services.budget.note_request();
+    this->open_streams += request.stream ? 1 : 0;
+    const forward_outcome outcome = request.idempotency_key.empty()
+                                        ? this->plain.forward(request, caller, span.context())
+                                        : this->claimed.forward(request, caller, span.context());
+    this->open_streams -= request.stream ? 1 : 0;
+    return outcome;
+}
+
+forward_outcome entry_service::fail(const failure& reason, answer_sink& caller) {
+    // Nothing was sent for this request, so an empty log gives the proof.
+    caller.send_failure({reason, attempt_log{}.proof(), {}});
+    return {reason.kind, false};
+}
+
+void entry_service::note(const std::string& request_id, const forward_outcome& outcome, steady_time arrived) {
+    const std::string kind = kind_of(outcome);
+    const std::chrono::duration<double, std::milli> spent = this->services.context.time.now() - arrived;
+    this->services.context.metrics.get_counter("entry_requests_total", "kind=\"" + kind + "\"").add();
+    this->services.context.metrics.get_histogram("entry_request_ms").record(spent.count());
+    this->services.context.log.info(
+        "request_done", {{"request_id", request_id}, {"kind", kind}, {"ms", std::to_string(spent.count())}});
+}
+
+bool entry_service::is_ready() const {
+    const configuration_ptr declared = this->configurations.current();
+    return !this->gate.is_closed() && declared && declared->version() != 0;
+}
+
+std::string entry_service::render_metrics() const {
+    return this->services.context.metrics.render();
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/entry/http_front.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "entry/answer_sink.h"
+#include "entry/entry_request.h"
+
+#include <pomelohoist/clock.h>
+#include <pomelohoist/error.h>
+
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
+
+#include <memory>
+#include <string>
+
+/// The HTTP server towards callers.
+namespace pomelohoist {
+
+/// Serves requests that were read as a whole.
+/// @attention is called by several threads at once
+class http_service {
+  public:
+    virtual ~http_service() = default;
+    /// @param arrived when the header had been read
+    virtual void serve(const raw_request& raw, steady_time arrived, answer_sink& caller) = 0;
+    /// Refuses a request whose body was not read.
+    virtual void refuse(const raw_request& raw, const failure& reason, answer_sink& caller) = 0;
+    [[nodiscard]] virtual bool is_ready() const = 0;
+    [[nodiscard]] virtual std::string render_metrics() const = 0;
+};
+
+class http_front {
+  public:
+    /// Binds the socket.
+    /// @param local address; port 0 lets the system choose
+    /// @attention throws Poco::Net::NetException when the address cannot be bound
+    http_front(const net_address& local, const clock& time_source);
+    ~http_front();
+    http_front(const http_front&) = delete;
+    http_front& operator=(const http_front&) = delete;
+
+    /// @param served must outlive the front
+    void start(http_service& served);
+    /// Closes all connections. Requests in progress must have ended before.
+    void stop();
+    [[nodiscard]] net_address local_address() const;
+
+  private:
+    const clock& time;
+    Poco::Net::ServerSocket socket;
+    net_address bound;
+    std::unique_ptr<Poco::ThreadPool> pool;
+    std::unique_ptr<Poco::Net::HTTPServer> server;
+};
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/entry/request_reader.cpp
@@ -0,0 +1,78 @@
+#include "entry/request_reader.h"
+
+#include <pomelohoist/config.h>
+
+#include <algorithm>
+#include <istream>
+
+namespace pomelohoist {
+
+namespace {
+
+result<done> check_limits(const Poco::Net::HTTPServerRequest& request) {
+    if (request.size() > config::max_header_fields) {
+        return failure{error_kind::header_too_large,
+                       "more than " + std::to_string(config::max_header_fields) + " header fields"};
+    }
+    if (request.getChunkedTransferEncoding()) {
+        // A torn chunked body cannot be told from a whole one here, and a cut request must not be run.
+        return failure{error_kind::bad_request, "Content-Length is required; chunked request bodies are not accepted"};
+    }
+    if (request.hasContentLength() && request.getContentLength64() < 0) {
+        return failure{error_kind::bad_request, "malformed Content-Length"};
+    }
+    if (request.hasContentLength() &&
+        static_cast<std::uint64_t>(request.getContentLength64()) > config::max_body_bytes) {
+        return failure{error_kind::payload_too_large,
+                       "the body exceeds " + std::to_string(config::max_body_bytes) + " bytes"};
+    }
+    return done{};
+}
+
+} // namespace
+
+raw_request read_header(const Poco::Net::HTTPServerRequest& request) {
+    raw_request raw;
+    raw.method = request.getMethod();
+    raw.target = request.getURI();
+    for (const auto& [name, value] : request) {
+        raw.headers.push_back({name, value});
+    }
+    return raw;
+}
+
+result<done> read_body(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response,
+                       const clock& time, raw_request& raw) {
+    result<done> allowed = check_limits(request);
+    if (!allowed || !request.hasContentLength()) {
+        return allowed;
+    }
+    if (request.getExpectContinue()) {
+        response.sendContinue();
+    }
+    const auto length = static_cast<std::size_t>(request.getContentLength64());
+    const steady_time deadline = time.now() + config::body_read_timeout;
+    std::istream& stream = request.stream();
+    // One piece for each arrival, so that a sender of single bytes meets the deadline for the whole body too.
+    while (raw.body.size() < length) {
+        if (time.now() >= deadline) {
+            return failure{error_kind::request_timeout, "the body did not arrive in time"};
+        }
+        if (stream.peek() == std::istream::traits_type::eof()) {
+            break;
+        }
+        const auto arrived = static_cast<std::size_t>(std::max<std::streamsize>(stream.rdbuf()->in_avail(), 1));
+        const std::size_t filled = raw.body.size();
+        raw.body.resize(std::min(filled + arrived, length));
+        stream.read(raw.body.data() + filled, static_cast<std::streamsize>(raw.body.size() - filled));
+    }
+    if (raw.body.size() == length) {
+        return done{};
+    }
+    if (time.now() >= deadline) {
+        return failure{error_kind::request_timeout, "the body did not arrive in time"};
+    }
+    return failure{error_kind::bad_request, "the connection ended within the body"};
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/entry/request_reader.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "entry/entry_request.h"
+
+#include <pomelohoist/clock.h>
+#include <pomelohoist/error.h>
+
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+/// Reads callers' requests within the limits of config.h.
+namespace pomelohoist {
+
+/// @returns method, target and headers
+raw_request read_header(const Poco::Net::HTTPServerRequest& request);
+
+/// Reads the body into `raw`.
+/// @returns done, or `header_too_large`, `payload_too_large`, `request_timeout` or `bad_request`
+result<done> read_body(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response,
+                       const clock& time, raw_request& raw);
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/entry/service_gate.cpp
@@ -0,0 +1,40 @@
+#include "entry/service_gate.h"
+
+namespace pomelohoist {
+
+bool service_gate::enter() {
+    const std::lock_guard lock{this->mutex};
+    if (this->closed) {
+        return false;
+    }
+    ++this->number;
+    return true;
+}
+
+void service_gate::leave() {
+    const std::lock_guard lock{this->mutex};
+    --this->number;
+    this->left.notify_all();
+}
+
+void service_gate::close() {
+    const std::lock_guard lock{this->mutex};
+    this->closed = true;
+}
+
+bool service_gate::wait_idle(std::chrono::milliseconds timeout) {
+    std::unique_lock lock{this->mutex};
+    return this->left.wait_for(lock, timeout, [this] { return this->number == 0; });
+}
+
+bool service_gate::is_closed() const {
+    const std::lock_guard lock{this->mutex};
+    return this->closed;
+}
+
+std::uint32_t service_gate::active() const {
+    const std::lock_guard lock{this->mutex};
+    return this->number;
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/entry/stream_event.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+/// Server-sent events of model streams.
+namespace pomelohoist {
+
+/// What an event is to the entry.
+enum class stream_event_kind : std::uint8_t {
+    text,    ///< carries one token of the answer
+    opening, ///< carries no text, such as the role at the beginning
+    closing, ///< finish reason or [DONE]
+    error,   ///< the engine reports an error
+    count
+};
+
+/// Removes the first whole event from the buffer.
+/// @returns the event with its blank line, or nothing while it is incomplete
+std::optional<std::string> take_event(std::string& buffer);
+
+stream_event_kind kind_of_event(const std::string& event);
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/entry/suspect_reporter.cpp
@@ -0,0 +1,30 @@
+#include "entry/suspect_reporter.h"
+
+#include <pomelohoist/config.h>
+
+#include <algorithm>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace pomelohoist {
+
+std::size_t suspect_reporter::report(const entry_request& request, const ticket& lost, const configuration& declared) {
+    const inner::payload content =
+        inner::to_payload(inner::suspect_report{"run:" + lost.to_string(), {request.digest}});
+    std::unordered_set<std::string> told;
+    std::vector<inner::datagram_call> reports;
+    reports.reserve(declared.endpoints().size());
+    for (const endpoint& declared_endpoint : declared.endpoints()) {
+        const bool may_run = declared_endpoint.kind == request.kind && declared_endpoint.serves == request.serves;
+        if (may_run && told.insert(declared_endpoint.agent.to_string()).second) {
+            reports.push_back({declared_endpoint.agent, content});
+        }
+    }
+    const auto replies = this->calls.call_all(reports, config::suspect_publish_timeout);
+    return static_cast<std::size_t>(std::count_if(replies.begin(), replies.end(), [](const auto& reply) {
+        return reply && inner::decode_body<inner::suspect_ack>(*reply).has_value();
+    }));
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/entry/suspect_reporter.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "declaration/configuration.h"
+#include "entry/entry_request.h"
+#include "inner/datagram_endpoint.h"
+
+#include <pomelohoist/types.h>
+
+namespace pomelohoist {
+
+/// Tells the agents that could run a request that it was in flight when its agent was lost.
+class suspect_reporter {
+  public:
+    explicit suspect_reporter(inner::datagram_endpoint& endpoint) : calls(endpoint) {}
+
+    /// Reports and waits for the acknowledgements, at most `config::suspect_publish_timeout`.
+    /// @param lost ticket of the run; identifies the death, so that a repeated report counts once
+    /// @returns number of agents that acknowledged
+    std::size_t report(const entry_request& request, const ticket& lost, const configuration& declared);
+
+  private:
+    inner::datagram_endpoint& calls;
+};
+
+} // namespace pomelohoist
--- a/tests/routing/candidate_policy_test.cpp
+++ b/tests/routing/candidate_policy_test.cpp
@@ -33,10 +33,13 @@
         }
         const std::size_t eligible = number > 1 ? number - 1 : number;
         const auto picked = policy->pick({random.next(), 3}, candidates);
-        const std::set<endpoint_handle> distinct{picked.begin(), picked.end()};
+        std::set<std::uint32_t> distinct;
+        for (const endpoint_handle handle : picked) {
+            distinct.insert(handle.index);
+        }
         EXPECT_EQ(distinct.size(), picked.size());
         EXPECT_EQ(picked.size(), std::min<std::size_t>(3, eligible));
-        EXPECT_FALSE(number > 1 && distinct.contains(endpoint_handle{1}));
+        EXPECT_FALSE(number > 1 && distinct.contains(1));
     }
 }
 
@@ -58,14 +61,14 @@
     seeded_random random{11};
     const auto policy = make_candidate_policy(routing_policy::affinity, random);
     const auto candidates = make_candidates(16);
-    std::set<endpoint_handle> first_choices;
+    std::set<std::uint32_t> first_choices;
     for (std::uint64_t prefix = 1; prefix <= 200; ++prefix) {
         const endpoint_handle favourite = policy->pick({prefix, 3}, candidates).front();
         EXPECT_EQ(policy->pick({prefix, 3}, candidates).front(), favourite);
         auto fewer = candidates;
         std::erase_if(fewer, [&](const auto& entry) { return entry.handle.index == (favourite.index + 1) % 16; });
         EXPECT_EQ(policy->pick({prefix, 3}, fewer).front(), favourite);
-        first_choices.insert(favourite);
+        first_choices.insert(favourite.index);
     }
     EXPECT_EQ(first_choices.size(), 16U);
 }
