Connect the daemons to the platform and add the demo

Cause: agent and entry had placeholders for their configuration source. Ruled out: building client, breaker and spreader in each main function, which would stand twice. Before: no daemon started. After: builds; the demo has not run yet. Conclusion: platform_source holds client, breaker and propagation.

--- a/makefile
+++ b/makefile
@@ -5,7 +5,7 @@
 SEEDS ?= 10
 SEED_BASE ?= 1
 
-.PHONY: all packages build test models lint format format-check clean
+.PHONY: all packages build demo test models lint format format-check clean
 
 all: build
 
@@ -18,6 +18,9 @@
 build: packages $(build_dir)/build.ninja
 	cmake --build $(build_dir) -j $(jobs)
 
+demo: build
+	$(build_dir)/bin/demo
+
 test: build
 	ctest --test-dir $(build_dir) --output-on-failure -j 4
 
--- a/src/agent/agent_wiring.cpp
+++ b/src/agent/agent_wiring.cpp
@@ -1,5 +1,7 @@
 #include "agent/agent_wiring.h"
 
+#include "spread/platform_source.h"
+
 #include <mutex>
 
 namespace pomelohoist {
@@ -24,8 +26,12 @@
 
 } // namespace
 
-result<std::unique_ptr<configuration_source>> make_configuration_source(const source_setup& /*setup*/) {
-    return failure{error_kind::not_ready, "this build has no configuration source"};
+result<std::unique_ptr<configuration_source>> make_configuration_source(const source_setup& setup) {
+    const platform_setup used{
+        setup.platform, {setup.listener.local_address(), setup.data_centre, setup.process_name}, setup.seeds};
+    std::unique_ptr<configuration_source> source =
+        std::make_unique<platform_source>(used, setup.context, setup.listener.calls());
+    return source;
 }
 
 std::unique_ptr<order_gate> make_order_gate() {
