--- a/src/spread/configuration_spreader.h
+++ b/src/spread/configuration_spreader.h
@@ -124,7 +124,7 @@
     bool stopping{false};
     bool ready{false};
     bool has_news{false}; ///< a version was taken that has not been announced yet
-    std::map<net_address, offered_versions> wanted_pulls;
+    std::map<net_address, offered_versions, address_order> wanted_pulls;
     std::vector<std::thread> threads;
 
     std::atomic<std::uint64_t> poll_count{0};
--- a/src/spread/peer_set.h
+++ b/src/spread/peer_set.h
@@ -11,6 +11,8 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 /// The other processes that a process knows.
@@ -23,6 +25,13 @@
     friend bool operator==(const peer&, const peer&) = default;
 };
 
+/// Order of addresses for maps.
+struct address_order {
+    bool operator()(const net_address& left, const net_address& right) const {
+        return std::tie(left.ip, left.port) < std::tie(right.ip, right.port);
+    }
+};
+
 /// Where a process learns of others before it has a configuration.
 class peer_directory {
   public:
@@ -72,7 +81,7 @@
     net_address own;
     std::string centre;
     mutable std::mutex mutex;
-    std::map<net_address, known_peer> peers;
+    std::map<net_address, known_peer, address_order> peers;
     std::vector<net_address> near; ///< of the own data centre
     std::vector<net_address> far;
     steady_time rebuilt_at{};
