--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -65,7 +65,9 @@
         } catch (const Poco::Exception& error) {
             return failure{error_kind::invalid_settings, "the address cannot be bound: " + error.displayText()};
         }
-        result<entry_platform> connected = this->factory.connect(this->values, this->context, this->listener->calls());
+        result<entry_platform> connected =
+            this->factory.connect(this->values, this->context, this->listener->calls(),
+                                  entry_addresses{this->listener->local_address(), this->front->local_address()});
         if (!connected) {
             return connected.last_error();
         }
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -3,8 +3,8 @@
 #include "common/daemon.h"
 #include "entry/claim_access.h"
 #include "inner/datagram_endpoint.h"
-#include "platform/table_service.h"
 #include "spread/configuration_source.h"
+#include "spread/member_registry.h"
 
 #include <memory>
 
@@ -13,9 +13,17 @@
 
 /// What an entry gets from the platform.
 struct entry_platform {
-    std::unique_ptr<table_service> table;
-    std::unique_ptr<claim_access> claims;                 ///< uses the table
-    std::unique_ptr<configuration_source> configurations; ///< uses the table and the datagram endpoint
+    std::unique_ptr<configuration_source> configurations; ///< uses the datagram endpoint
+    std::unique_ptr<claim_access> claims;
+    std::unique_ptr<member_registry> registry; ///< started; may be null in tests
+};
+
+/// Addresses at which an entry serves.
+struct entry_addresses {
+    net_address inner;
+    net_address http;
+
+    friend bool operator==(const entry_addresses&, const entry_addresses&) = default;
 };
 
 /// Connects an entry to the platform.
@@ -24,7 +32,7 @@
     virtual ~entry_platform_factory() = default;
     /// @param calls socket for announcements and pulls, outlives the result
     virtual result<entry_platform> connect(const settings& checked, const daemon_context& context,
-                                           inner::datagram_endpoint& calls) = 0;
+                                           inner::datagram_endpoint& calls, const entry_addresses& bound) = 0;
 };
 
 class entry_daemon_factory : public daemon_factory {
--- a/src/entry/request_parser.cpp
+++ b/src/entry/request_parser.cpp
@@ -23,10 +23,20 @@
 constexpr std::size_t max_key_bytes = 256;
 
 // Hop-by-hop fields and fields that are between the caller and the entry; the bearer key must not reach endpoints.
-constexpr std::array<std::string_view, 15> dropped_headers{
-    "authorization",     "connection", "content-length",        "expect",      "host",
-    "idempotency-key",   "keep-alive", "proxy-authorization",   "te",          "trailer",
-    "transfer-encoding", "upgrade",    "x-request-deadline-ms", "traceparent", "x-pomelohoist-application"};
+constexpr std::array<std::string_view, 14> dropped_headers{"authorization",
+                                                           "connection",
+                                                           "content-length",
+                                                           "expect",
+                                                           "host",
+                                                           "keep-alive",
+                                                           "proxy-authorization",
+                                                           "te",
+                                                           "trailer",
+                                                           "transfer-encoding",
+                                                           "upgrade",
+                                                           "x-request-deadline-ms",
+                                                           "traceparent",
+                                                           "x-pomelohoist-application"};
 
 bool is_dropped(const std::string& name) {
     const std::string lower = Poco::toLower(name);
