Add seeded fault schedules; do not share listening ports

A listening socket that POCO's constructor binds also sets SO_REUSEPORT, so a restarted process and a process of another deployment shared one port and each got a part of the connections. Conclusion: bind_listener without SO_REUSEPORT, with a test; each deployment of a test has a loopback address of its own.

--- a/makefile
+++ b/makefile
@@ -5,7 +5,7 @@
 SEEDS ?= 10
 SEED_BASE ?= 1
 
-.PHONY: all packages build demo test models lint format format-check clean
+.PHONY: all packages build demo test faults models lint format format-check clean
 
 all: build
 
@@ -24,6 +24,10 @@
 test: build
 	ctest --test-dir $(build_dir) --output-on-failure -j 4
 
+# Seeded fault schedules: SEEDS how many, SEED_BASE the first, SEED one only.
+faults: build
+	SEEDS="$(SEEDS)" SEED_BASE="$(SEED_BASE)" SEED="$(SEED)" bash scripts/run_faults.sh
+
 models: packages
 	bash scripts/check_models.sh
 
--- a/src/entry/http_front.cpp
+++ b/src/entry/http_front.cpp
@@ -1,5 +1,6 @@
 #include "entry/http_front.h"
 
+#include "common/listen_socket.h"
 #include "entry/http_answer.h"
 #include "entry/request_reader.h"
 
@@ -85,9 +86,7 @@
 } // namespace
 
 http_front::http_front(const net_address& local, const clock& time_source)
-    : time(time_source),
-      socket(Poco::Net::SocketAddress{local.ip, local.port}, listen_backlog), bound{local.ip,
-                                                                                    this->socket.address().port()} {}
+    : time(time_source), socket(bind_listener(local, listen_backlog)), bound{local.ip, this->socket.address().port()} {}
 
 http_front::~http_front() {
     this->stop();
--- a/src/inner/stream_server.cpp
+++ b/src/inner/stream_server.cpp
@@ -1,5 +1,7 @@
 #include "inner/stream_server.h"
 
+#include "common/listen_socket.h"
+
 #include <pomelohoist/config.h>
 
 #include <Poco/Net/TCPServer.h>
@@ -56,8 +58,7 @@
 } // namespace
 
 stream_listener::stream_listener(const net_address& local)
-    : socket(Poco::Net::SocketAddress{local.ip, local.port}, listen_backlog), bound{local.ip, socket.address().port()} {
-}
+    : socket(bind_listener(local, listen_backlog)), bound{local.ip, socket.address().port()} {}
 
 net_address stream_listener::local_address() const {
     return this->bound;
--- a/standins/engine/standin_engine.cpp
+++ b/standins/engine/standin_engine.cpp
@@ -96,9 +96,9 @@
 
 class engine {
   public:
-    explicit engine(engine_options chosen)
+    engine(engine_options chosen, const std::string& journal_path)
         : options(std::move(chosen)), slots(options),
-          boot_id(Poco::UUIDGenerator::defaultGenerator().createRandom().toString()) {}
+          boot_id(Poco::UUIDGenerator::defaultGenerator().createRandom().toString()), counts(journal_path) {}
 
     void serve(HTTPServerRequest& request, HTTPServerResponse& response) {
         try {
@@ -243,7 +243,9 @@
         "cache-event-gap", "every n-th event is lost", cxxopts::value<std::uint32_t>()->default_value("10"))(
         "fencing", "checked or ignored", cxxopts::value<std::string>()->default_value("checked"))(
         "crash-marker", "a prompt with this text ends the process with status 1",
-        cxxopts::value<std::string>()->default_value(""))("help", "show this text");
+        cxxopts::value<std::string>()->default_value(""))("journal", "file that each count is appended to",
+                                                          cxxopts::value<std::string>()->default_value(""))(
+        "help", "show this text");
     const auto parsed = arguments.parse(argc, argv);
     if (parsed.count("help") > 0) {
         std::cout << arguments.help();
@@ -259,7 +261,7 @@
     chosen.cache_event_gap = parsed["cache-event-gap"].as<std::uint32_t>();
     chosen.checks_fencing = parsed["fencing"].as<std::string>() != "ignored";
     chosen.crash_marker = parsed["crash-marker"].as<std::string>();
-    engine served{chosen};
+    engine served{chosen, parsed["journal"].as<std::string>()};
     return serve_until_signal(parsed["listen"].as<std::string>(),
                               [&served](auto& request, auto& response) { served.serve(request, response); });
 }
--- a/standins/http_host.h
+++ b/standins/http_host.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "common/listen_socket.h"
+
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
@@ -16,6 +18,7 @@
 #include <cstdlib>
 #include <functional>
 #include <iostream>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -86,7 +89,11 @@
     std::signal(SIGPIPE, SIG_IGN);
 
     Poco::ThreadPool pool{min_threads, max_threads, idle_seconds};
-    const Poco::Net::ServerSocket socket{Poco::Net::SocketAddress{listen}, backlog};
+    const auto local = pomelohoist::net_address::parse(listen);
+    if (!local) {
+        throw std::invalid_argument("--listen takes IP:PORT");
+    }
+    const Poco::Net::ServerSocket socket = pomelohoist::bind_listener(*local, backlog);
     Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
     params->setMaxThreads(max_threads);
     params->setMaxQueued(backlog);
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -1,5 +1,7 @@
 #include "platform_state.h"
 
+#include "common/listen_socket.h"
+
 #include <pomelohoist/types.h>
 
 #include <Poco/Exception.h>
@@ -167,7 +169,7 @@
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    const Poco::Net::ServerSocket socket{Poco::Net::SocketAddress{local.ip, local.port}, max_queued};
+    const Poco::Net::ServerSocket socket = bind_listener(local, max_queued);
     Poco::ThreadPool pool{min_threads, max_threads};
     Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
     params->setMaxThreads(max_threads);
--- a/standins/service/standin_service.cpp
+++ b/standins/service/standin_service.cpp
@@ -37,8 +37,9 @@
 
 class service {
   public:
-    explicit service(service_faults initial)
-        : faults(std::move(initial)), boot_id(Poco::UUIDGenerator::defaultGenerator().createRandom().toString()) {}
+    service(service_faults initial, const std::string& journal_path)
+        : faults(std::move(initial)), boot_id(Poco::UUIDGenerator::defaultGenerator().createRandom().toString()),
+          counts(journal_path) {}
 
     void serve(HTTPServerRequest& request, HTTPServerResponse& response) {
         try {
@@ -102,13 +103,16 @@
     arguments.add_options()("listen", "IP:PORT", cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
         "delay-ms", "time per request", cxxopts::value<std::uint32_t>()->default_value("0"))(
         "crash-marker", "a body with this text ends the process with status 1",
-        cxxopts::value<std::string>()->default_value(""))("help", "show this text");
+        cxxopts::value<std::string>()->default_value(""))("journal", "file that each count is appended to",
+                                                          cxxopts::value<std::string>()->default_value(""))(
+        "help", "show this text");
     const auto parsed = arguments.parse(argc, argv);
     if (parsed.count("help") > 0) {
         std::cout << arguments.help();
         return EXIT_SUCCESS;
     }
-    service served{{parsed["delay-ms"].as<std::uint32_t>(), parsed["crash-marker"].as<std::string>(), 0}};
+    service served{{parsed["delay-ms"].as<std::uint32_t>(), parsed["crash-marker"].as<std::string>(), 0},
+                   parsed["journal"].as<std::string>()};
     return serve_until_signal(parsed["listen"].as<std::string>(),
                               [&served](auto& request, auto& response) { served.serve(request, response); });
 }
--- /dev/null
+++ b/tests/faults/workload.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "support/deployment.h"
+#include "support/standin_answers.h"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// Callers that send drafts and bookings while faults are injected, and the checks of what they got.
+namespace pomelohoist::faults {
+
+/// One request of a caller over all its sends.
+struct call_record {
+    std::string id;              ///< X-Request-Id of the last send
+    std::string idempotency_key; ///< empty for none
+    bool whole_answer{false};
+};
+
+/// Numbers of one schedule.
+struct workload_report {
+    std::uint64_t drafts{0};
+    std::uint64_t whole_drafts{0};
+    std::uint64_t bookings{0};
+    std::uint64_t answered_bookings{0};
+    std::uint64_t sends{0};
+    std::uint64_t not_run_answers{0};
+    std::uint64_t outcome_unknown_answers{0};
+    std::vector<std::string> violations;
+};
+
+/// Names of what the callers use.
+struct workload_options {
+    std::string workspace_key{"workspace-key"};
+    std::string model{"model-a"};
+    std::string service{"service-a"};
+    std::uint32_t callers{4};
+    std::uint64_t seed{1};
+    std::uint32_t draft_tokens{12};
+    bool with_bookings{true};
+};
+
+class workload {
+  public:
+    /// @param journals files that the stand-ins append their counts to
+    workload(std::vector<net_address> entries, workload_options chosen, std::vector<std::string> journals);
+    ~workload();
+    workload(const workload&) = delete;
+    workload& operator=(const workload&) = delete;
+
+    void start();
+    /// Stops the callers and checks all answers against what the stand-ins counted.
+    workload_report stop();
+
+    /// An entry that is stopping gracefully: refused connections are allowed, cut answers are not.
+    void set_strict(bool wanted) { this->strict = wanted; }
+
+  private:
+    void caller_loop(std::uint32_t number);
+    void send_draft(std::mt19937_64& random, const std::string& id);
+    void send_booking(std::mt19937_64& random, const std::string& id);
+    test_support::http_answer send_once(std::mt19937_64& random, test_support::http_request request,
+                                        const std::string& id);
+    void check_counts(workload_report& report) const;
+    void violate(const std::string& what);
+    void note_answer(const std::string& id, const test_support::http_answer& answer);
+
+    std::vector<net_address> targets;
+    workload_options options;
+    std::vector<std::string> journal_files;
+    std::atomic<bool> stopping{false};
+    std::atomic<bool> strict{false};
+    std::vector<std::thread> threads;
+    mutable std::mutex mutex;
+    workload_report numbers;
+    std::vector<std::string> not_run_ids;   ///< sends that were reported as "not run"
+    std::vector<std::string> answered_ids;  ///< sends of bookings without a key
+    std::vector<std::string> answered_keys; ///< keys whose booking was answered
+};
+
+} // namespace pomelohoist::faults
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -1,11 +1,14 @@
 #include "support/deployment.h"
 
+#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
 #include <utility>
 
+#include <unistd.h>
+
 namespace pomelohoist::test_support {
 
 namespace {
@@ -17,6 +20,17 @@
 constexpr auto command_timeout = 40s;
 constexpr auto stop_timeout = 30s;
 
+/// @returns a loopback address that no other deployment uses, so that nobody takes the port of a process that is down
+std::string unused_loopback_ip() {
+    static std::atomic<unsigned> deployments{0};
+    constexpr unsigned byte_values = 256;
+    constexpr unsigned first_second_byte = 1;
+    const auto process = static_cast<unsigned>(getpid());
+    const unsigned second = first_second_byte + process / byte_values % (byte_values - 2);
+    const unsigned last = 1 + deployments++ % (byte_values - 2);
+    return "127." + std::to_string(second) + "." + std::to_string(process % byte_values) + "." + std::to_string(last);
+}
+
 /// Reads "inner=IP:PORT http=IP:PORT".
 void read_addresses(const std::string& line, running_program& into) {
     std::istringstream words{line};
@@ -38,7 +52,7 @@
 } // namespace
 
 deployment::deployment(std::string binaries, std::string work)
-    : binary_folder(std::move(binaries)), folder(std::move(work)) {
+    : binary_folder(std::move(binaries)), folder(std::move(work)), any_port(unused_loopback_ip() + ":0") {
     std::filesystem::create_directories(this->folder);
 }
 
@@ -57,19 +71,24 @@
 
 running_program& deployment::start_platform(const std::vector<std::string>& arguments) {
     std::vector<std::string> words = arguments;
-    words.insert(words.begin(), {"--listen", "127.0.0.1:0"});
+    words.insert(words.begin(), {"--listen", this->any_port});
     this->platform_program.process = this->start("standin-platform", "platform", words, this->platform_program);
     return this->platform_program;
 }
 
-running_program& deployment::start_entry(const std::string& name, const std::string& data_centre) {
+std::string deployment::entry_settings(const std::string& name, const net_address& http) {
     std::ostringstream text;
-    text << "[process]\nname = " << name << "\ndata_centre = " << data_centre << "\nhost = " << name << "\n"
-         << "[http]\naddress = 127.0.0.1:0\n[inner]\naddress = 127.0.0.1:0\n"
+    text << "[process]\nname = " << name << "\ndata_centre = " << this->entry_data_centres[name] << "\nhost = " << name
+         << "\n[http]\naddress = " << http.to_string() << "\n[inner]\naddress = " << this->any_port << "\n"
          << "[platform]\naddress = " << this->platform_program.http.to_string() << "\n"
          << "[peers]\nseeds = " << this->seed_addresses() << "\n"
          << "[log]\nformat = json\n[trace]\nfile = " << this->folder << "/" << name << ".spans.json\n";
-    const std::string settings = this->write_file(name + ".ini", text.str());
+    return this->write_file(name + ".ini", text.str());
+}
+
+running_program& deployment::start_entry(const std::string& name, const std::string& data_centre) {
+    this->entry_data_centres[name] = data_centre;
+    const std::string settings = this->entry_settings(name, *net_address::parse(this->any_port));
     running_program& entry = this->entry_programs.emplace_back();
     entry.process = this->start("pomelohoist-entry", name, {"--config", settings}, entry);
     return entry;
@@ -81,9 +100,9 @@
     if (endpoint->options.host.empty()) {
         endpoint->options.host = options.name;
     }
-    endpoint->standin.http = {"127.0.0.1", 0};
+    endpoint->standin.http = *net_address::parse(this->any_port);
     this->restart_standin(*endpoint);
-    this->start_agent(*endpoint, "127.0.0.1:0");
+    this->start_agent(*endpoint, this->any_port);
     this->endpoint_programs.push_back(std::move(endpoint));
     return *this->endpoint_programs.back();
 }
@@ -91,11 +110,23 @@
 void deployment::restart_standin(running_endpoint& endpoint) {
     std::vector<std::string> words = endpoint.options.standin_arguments;
     words.insert(words.begin(), {"--listen", endpoint.standin.http.to_string()});
+    words.insert(words.end(), {"--journal", this->journal_of(endpoint)});
     endpoint.standin.process.reset();
     const std::string binary = endpoint.options.kind == "model" ? "standin-engine" : "standin-service";
     endpoint.standin.process = this->start(binary, endpoint.options.name + "-standin", words, endpoint.standin);
 }
 
+std::string deployment::journal_of(const running_endpoint& endpoint) const {
+    return this->folder + "/" + endpoint.options.name + ".journal";
+}
+
+void deployment::restart_entry(running_program& entry) {
+    const net_address http = entry.http;
+    const std::string name = entry.name;
+    entry.process.reset();
+    entry.process = this->start("pomelohoist-entry", name, {"--config", this->entry_settings(name, http)}, entry);
+}
+
 void deployment::restart_agent(running_endpoint& endpoint) {
     endpoint.agent.process.reset();
     this->start_agent(endpoint, endpoint.agent.inner.to_string());
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -5,6 +5,7 @@
 
 #include <pomelohoist/types.h>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -54,6 +55,10 @@
     running_endpoint& start_endpoint(const endpoint_options& options);
     /// Starts the agent of an endpoint again, with the same inner address.
     void restart_agent(running_endpoint& endpoint);
+    /// Starts an entry again, with the same address for callers.
+    void restart_entry(running_program& entry);
+    /// @returns the file that the stand-in of the endpoint appends its counts to
+    [[nodiscard]] std::string journal_of(const running_endpoint& endpoint) const;
     /// Starts the stand-in of an endpoint again, with the same address.
     void restart_standin(running_endpoint& endpoint);
 
@@ -78,14 +83,17 @@
     std::unique_ptr<child_process> start(const std::string& binary, const std::string& name,
                                          const std::vector<std::string>& arguments, running_program& into);
     std::string write_file(const std::string& name, const std::string& content);
+    std::string entry_settings(const std::string& name, const net_address& http);
     void start_agent(running_endpoint& endpoint, const std::string& inner_address);
     [[nodiscard]] std::string seed_addresses() const;
 
     std::string binary_folder;
     std::string folder;
+    std::string any_port; ///< "IP:0" of this deployment
     running_program platform_program;
     std::vector<running_program> entry_programs;
     std::vector<std::unique_ptr<running_endpoint>> endpoint_programs;
+    std::map<std::string, std::string> entry_data_centres;
     int applied_files{0};
 };
 
--- a/tests/support/http_client.cpp
+++ b/tests/support/http_client.cpp
@@ -46,6 +46,16 @@
     return true;
 }
 
+/// POCO ends a chunked body in the same way at its last chunk and at a lost connection. On a kept connection the socket
+/// is still open after the last chunk; a server that stops may close it, but then the body has its own end mark.
+bool is_chunked_body_whole(Poco::Net::HTTPClientSession& session, const std::string& body) {
+    const std::string end_mark = "data: [DONE]\n\n";
+    if (body.size() >= end_mark.size() && body.compare(body.size() - end_mark.size(), end_mark.size(), end_mark) == 0) {
+        return true;
+    }
+    return session.connected() && !session.socket().poll(Poco::Timespan{0}, Poco::Net::Socket::SELECT_READ);
+}
+
 } // namespace
 
 http_answer send_http(const net_address& target, const http_request& request, const body_sink& sink) {
@@ -55,7 +65,8 @@
         Poco::Net::HTTPClientSession session{target.ip, target.port};
         session.setTimeout(Poco::Timespan{request.timeout.count() * microseconds_per_millisecond});
         Poco::Net::HTTPRequest outgoing{request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1};
-        outgoing.setKeepAlive(false);
+        outgoing.setKeepAlive(true);
+        session.setKeepAlive(true);
         for (const auto& [name, value] : request.headers) {
             outgoing.set(name, value);
         }
@@ -73,7 +84,8 @@
         const bool has_length = incoming.hasContentLength();
         const bool is_short =
             has_length && answer.body.size() < static_cast<std::size_t>(incoming.getContentLength64());
-        answer.complete = whole && !is_short && !stream.bad() && session.networkException() == nullptr;
+        const bool is_cut = incoming.getChunkedTransferEncoding() && !is_chunked_body_whole(session, answer.body);
+        answer.complete = whole && !is_short && !is_cut && !stream.bad() && session.networkException() == nullptr;
     } catch (const Poco::Exception& error) {
         answer.headers[final_chunk_missing] = error.displayText();
     }
--- a/tests/support/standin_answers.cpp
+++ b/tests/support/standin_answers.cpp
@@ -60,6 +60,10 @@
     return text;
 }
 
+std::string standin_answer(const draft& call) {
+    return standin::answer_text(call.prompt, 0, call.max_tokens);
+}
+
 bool is_whole_answer(const draft& call, const http_answer& answer) {
     if (answer.status != status_ok || !answer.complete) {
         return false;
@@ -67,7 +71,7 @@
     if (call.stream && answer.body.find(std::string{"data: "} + done_event) == std::string::npos) {
         return false;
     }
-    return answer_content(answer, call.stream) == standin::answer_text(call.prompt, 0, call.max_tokens);
+    return answer_content(answer, call.stream) == standin_answer(call);
 }
 
 std::string error_kind_of(const http_answer& answer) {
--- a/tests/support/standin_answers.h
+++ b/tests/support/standin_answers.h
@@ -30,6 +30,9 @@
 /// @returns the text of all choices of the answer, streamed or not; nothing for another form
 std::string answer_content(const http_answer& answer, bool stream);
 
+/// @returns the text that the engine stand-in gives to this call
+std::string standin_answer(const draft& call);
+
 /// @returns true when the answer is the whole answer to this very call
 bool is_whole_answer(const draft& call, const http_answer& answer);
 
