--- /dev/null
+++ b/src/balance/change_search.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "balance/placement.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+/// Search for the next change of a placement.
+namespace pomelohoist {
+
+/// What a change has to bring.
+struct change_limits {
+    double saving_per_copy{0.0};  ///< least decrease of the imbalance for one copy
+    double noise{0.0};            ///< uncertainty of a rank's load, relative to the mean load
+    std::uint32_t max_copies{0};  ///< copies that are left
+
+    friend bool operator==(const change_limits&, const change_limits&) = default;
+};
+
+class change_search {
+  public:
+    change_search(const expert_shape& group, const placement& searched, const change_limits& allowed);
+    /// @returns the change with the greatest net saving for one copy, or nothing when none pays
+    std::optional<placement_change> find();
+
+  private:
+    void search_pair(std::uint32_t slow, std::uint32_t fast);
+    void search_layer(std::uint32_t layer, std::uint32_t slow, std::uint32_t fast);
+    void search_slots(const expert_move& from, const expert_move& to);
+    void search_drops(std::uint32_t slow);
+    void consider(const placement_change& change);
+    [[nodiscard]] double value_of(const placement_change& change) const;
+
+    expert_shape shape;
+    const placement& current;
+    change_limits limits;
+    std::optional<placement_change> best;
+    double best_value{0.0};
+    std::uint64_t evaluations{0};
+};
+
+} // namespace pomelohoist
