--- a/include/pomelohoist/expert_balance.h
+++ b/include/pomelohoist/expert_balance.h
@@ -85,7 +85,7 @@
     double copies_per_step{4.0};       ///< rate of the weight store
     double load_window_steps{24.0};    ///< averaging window of expert load while popularity is stable
     double speed_window_steps{4.0};    ///< averaging window of rank speed
-    double noise_margin{1.0};          ///< standard errors by which a saving must exceed the noise
+    double noise_margin{2.0};          ///< standard errors by which a saving must exceed the noise
     std::uint32_t min_steps{2};        ///< observed steps before the first plan
     std::uint32_t max_plan_copies{64}; ///< bound of one plan, which also bounds its planning time
 
--- a/src/balance/adaptive_balancer.cpp
+++ b/src/balance/adaptive_balancer.cpp
@@ -9,14 +9,14 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <optional>
+#include <utility>
 
 namespace pomelohoist {
 
 namespace {
 
 constexpr double noise_gain = 0.1;
-// Bound on replica drops, which cost no copies, in one plan.
-constexpr std::uint32_t max_plan_drops = 8;
 
 /// @returns the loads relative to their mean
 std::vector<double> relative(std::vector<double> loads) {
@@ -53,9 +53,9 @@
         }
         placement working{current, this->load.loads(), this->speed.speeds()};
         change_limits limits = this->limits_now();
-        std::uint32_t drops = 0;
-        while (limits.max_copies > 0 && drops < max_plan_drops) {
-            change_search search{this->shape, working, limits};
+        // Drops use no copies, so the number of changes is bounded too.
+        for (std::uint32_t i = 0; i < this->options.max_plan_copies && limits.max_copies > 0; ++i) {
+            change_search search{this->shape, working, limits, this->steps + i};
             const std::optional<placement_change> change = search.find();
             if (!change) {
                 break;
@@ -63,7 +63,6 @@
             working.apply(*change);
             moves.insert(moves.end(), change->moves.begin(), change->moves.begin() + change->move_count);
             limits.max_copies -= change->copies;
-            drops += change->copies == 0 ? 1 : 0;
             this->pacer.take(change->copies);
         }
         return moves;
--- a/src/balance/change_search.cpp
+++ b/src/balance/change_search.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-change_search::change_search(const expert_shape& group, const placement& searched, const change_limits& allowed)
-    : shape(group), current(searched), limits(allowed) {}
+change_search::change_search(const expert_shape& group, const placement& searched, const change_limits& allowed,
+                             std::uint64_t start)
+    : shape(group), current(searched), limits(allowed), first_layer(static_cast<std::uint32_t>(start % group.layers)) {}
 
 std::optional<placement_change> change_search::find() {
     std::vector<std::uint32_t> order(this->shape.ranks);
@@ -48,12 +49,11 @@
 }
 
 void change_search::search_pair(std::uint32_t slow, std::uint32_t fast) {
-    // No change between the two ranks can save more than the square of their distance, with speeds near 1.
     if (this->current.time_of(slow) <= this->current.time_of(fast)) {
         return;
     }
-    for (std::uint32_t layer = 0; layer < this->shape.layers; ++layer) {
-        this->search_layer(layer, slow, fast);
+    for (std::uint32_t i = 0; i < this->shape.layers && this->evaluations < max_evaluations; ++i) {
+        this->search_layer((this->first_layer + i) % this->shape.layers, slow, fast);
     }
 }
 
--- a/src/balance/change_search.h
+++ b/src/balance/change_search.h
@@ -11,16 +11,18 @@
 
 /// What a change has to bring.
 struct change_limits {
-    double saving_per_copy{0.0};  ///< least decrease of the imbalance for one copy
-    double noise{0.0};            ///< uncertainty of a rank's load, relative to the mean load
-    std::uint32_t max_copies{0};  ///< copies that are left
+    double saving_per_copy{0.0}; ///< least decrease of the imbalance for one copy
+    double noise{0.0};           ///< uncertainty of a rank's load, relative to the mean load
+    std::uint32_t max_copies{0}; ///< copies that are left
 
     friend bool operator==(const change_limits&, const change_limits&) = default;
 };
 
 class change_search {
   public:
-    change_search(const expert_shape& group, const placement& searched, const change_limits& allowed);
+    /// @param start layer that is searched first; with very many slots the search ends before it has seen all layers
+    change_search(const expert_shape& group, const placement& searched, const change_limits& allowed,
+                  std::uint64_t start);
     /// @returns the change with the greatest net saving for one copy, or nothing when none pays
     std::optional<placement_change> find();
 
@@ -35,6 +37,7 @@
     expert_shape shape;
     const placement& current;
     change_limits limits;
+    std::uint32_t first_layer;
     std::optional<placement_change> best;
     double best_value{0.0};
     std::uint64_t evaluations{0};
--- a/src/balance/packing.cpp
+++ b/src/balance/packing.cpp
@@ -10,8 +10,6 @@
 struct packed_replica {
     double load{0.0};
     std::uint32_t expert{0};
-
-    friend bool operator==(const packed_replica&, const packed_replica&) = default;
 };
 
 struct replica_candidate {
@@ -83,8 +81,7 @@
         return (this->totals[rank] + load) / this->speeds[rank];
     }
     [[nodiscard]] bool holds(std::uint32_t rank, std::uint32_t expert) const {
-        const auto rank_slots =
-            this->slots.subspan(std::size_t{rank} * this->shape.slots_per_rank, this->used[rank]);
+        const auto rank_slots = this->slots.subspan(std::size_t{rank} * this->shape.slots_per_rank, this->used[rank]);
         return std::find(rank_slots.begin(), rank_slots.end(), expert) != rank_slots.end();
     }
 
--- a/src/balance/placement.h
+++ b/src/balance/placement.h
@@ -32,8 +32,8 @@
     /// @returns sum over the ranks of load^2 / speed, relative to its least possible value per rank
     [[nodiscard]] double imbalance() const;
     [[nodiscard]] std::uint32_t expert_at(std::uint32_t layer, std::uint32_t rank, std::uint32_t slot) const {
-        return this->slots[layer * this->shape.slots_per_layer() + std::size_t{rank} * this->shape.slots_per_rank +
-                           slot];
+        return this
+            ->slots[layer * this->shape.slots_per_layer() + std::size_t{rank} * this->shape.slots_per_rank + slot];
     }
     [[nodiscard]] bool holds(std::uint32_t layer, std::uint32_t rank, std::uint32_t expert) const;
     [[nodiscard]] std::size_t replicas(std::uint32_t layer, std::uint32_t expert) const {
