Format the header of expert balance

Cause: check_format.sh rejects one line that clang-format breaks otherwise. Ruled out: a comment that switches the formatter off. Conclusion: no change of code.

--- a/include/pomelohoist/expert_balance.h
+++ b/include/pomelohoist/expert_balance.h
@@ -51,8 +51,8 @@
     [[nodiscard]] std::uint64_t version() const { return this->number; }
     /// @returns the expert, or `no_expert`
     [[nodiscard]] std::uint32_t expert_at(std::uint32_t layer, std::uint32_t rank, std::uint32_t slot) const {
-        return this->content[layer * this->size.slots_per_layer() + std::size_t{rank} * this->size.slots_per_rank +
-                             slot];
+        return this
+            ->content[layer * this->size.slots_per_layer() + std::size_t{rank} * this->size.slots_per_rank + slot];
     }
     [[nodiscard]] bool holds(std::uint32_t layer, std::uint32_t rank, std::uint32_t expert) const;
     /// @returns all slots in the order layer, rank, slot
