--- a/src/balance/load_estimator.cpp
+++ b/src/balance/load_estimator.cpp
@@ -16,7 +16,7 @@
 constexpr double max_noise_growth = 3.0;
 // With stable popularity the two averages differ by about 0.31 of the distance between one step and the short average
 // (gains 0.3 and 0.05); the rest is a margin.
-constexpr double change_ratio = 1e9;
+constexpr double change_ratio = 0.5;
 
 double half_distance(std::span<const double> left, std::span<const double> right) {
     double sum = 0.0;
