--- a/tests/faults/fault_schedule.cpp
+++ b/tests/faults/fault_schedule.cpp
@@ -162,15 +162,8 @@
     const std::string desk = "label.pool = desk\nlabel.state = active\n";
     for (int i = 1; i <= 3; ++i) {
         const std::string number = std::to_string(i);
-        all.start_endpoint({"model-" + number,
-                            "model",
-                            "model-a",
-                            "",
-                            0,
-                            "dc-" + number,
-                            "",
-                            drafting,
-                            {"--token-ms", "4", "--slots", "4"}});
+        all.start_endpoint(
+            {"model-" + number, "model", "model-a", "", 0, "dc-" + number, "", drafting, {"--token-ms", "4"}, 4});
     }
     for (int i = 1; i <= 2; ++i) {
         const std::string number = std::to_string(i);
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -110,6 +110,9 @@
 void deployment::restart_standin(running_endpoint& endpoint) {
     std::vector<std::string> words = endpoint.options.standin_arguments;
     words.insert(words.begin(), {"--listen", endpoint.standin.http.to_string()});
+    if (endpoint.options.kind == "model") {
+        words.insert(words.end(), {"--slots", std::to_string(endpoint.options.slots)});
+    }
     words.insert(words.end(), {"--journal", this->journal_of(endpoint)});
     endpoint.standin.process.reset();
     const std::string binary = endpoint.options.kind == "model" ? "standin-engine" : "standin-service";
@@ -139,7 +142,7 @@
     text << "[process]\nname = " << name << "\ndata_centre = " << options.data_centre << "\nhost = " << options.host
          << "\n[inner]\naddress = " << inner_address << "\n"
          << "[endpoint]\nname = " << options.name << "\nkind = " << options.kind
-         << "\naddress = " << endpoint.standin.http.to_string() << "\n"
+         << "\naddress = " << endpoint.standin.http.to_string() << "\nslots = " << options.slots << "\n"
          << "[platform]\naddress = " << this->platform_program.http.to_string() << "\n"
          << "[peers]\nseeds = " << this->seed_addresses() << "\n"
          << "[log]\nformat = json\n[trace]\nfile = " << this->folder << "/" << name << ".spans.json\n";
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -24,6 +24,7 @@
     std::string host;   ///< empty: same as the name
     std::string labels; ///< lines "label.KEY = VALUE"
     std::vector<std::string> standin_arguments;
+    std::uint32_t slots{8}; ///< requests at once, as the agent and a model engine are told
 
     friend bool operator==(const endpoint_options&, const endpoint_options&) = default;
 };
