Keep declared agents as peers after they fall silent

A process that was heard of before it was declared kept its expiry, so a declared agent would have been dropped from the peers after 15 minutes of silence. It now counts as declared; a test guards it.

--- a/bench/spread_benchmark.cpp
+++ b/bench/spread_benchmark.cpp
@@ -131,6 +131,17 @@
 }
 BENCHMARK(pulled_delta_cost)->Unit(benchmark::kMillisecond);
 
+/// Taking the agents of the declared endpoints as peers, which happens once for each version.
+void declared_peers_cost(benchmark::State& state) {
+    const system_clock time;
+    peer_set peers{time, {"127.0.0.1", 1}, "centro-1"};
+    for (auto step : state) {
+        (void)step;
+        peers.set_declared(base());
+    }
+}
+BENCHMARK(declared_peers_cost)->Unit(benchmark::kMillisecond);
+
 /// Answering a pull with one recent delta.
 void served_delta_cost(benchmark::State& state) {
     configuration_state sender;
--- a/src/spread/configuration_spreader.h
+++ b/src/spread/configuration_spreader.h
@@ -67,6 +67,8 @@
 ///   while
 ///     the head could not be read, also all processes known from the configuration and from announcements.
 ///   A version that only unreachable processes and an unreachable store have cannot be learned and may come later.
+///   A peer that answers but whose configuration cannot be pulled keeps the process from being ready: a late start is
+///   preferred to a lower version.
 /// - A store outage does not stop a start while one known peer has a configuration.
 class configuration_spreader : public configuration_source {
   public:
--- a/src/spread/peer_set.cpp
+++ b/src/spread/peer_set.cpp
@@ -35,7 +35,10 @@
     std::erase_if(this->peers, [](const auto& entry) { return entry.second.source == origin::declared; });
     for (const endpoint& each : declared.endpoints()) {
         if (each.agent != this->own) {
-            this->peers.try_emplace(each.agent, known_peer{each.data_centre, origin::declared, {}});
+            // A process that was only heard of so far must not expire any more.
+            known_peer& known = this->peers.try_emplace(each.agent, known_peer{"", origin::declared, {}}).first->second;
+            known.data_centre = each.data_centre;
+            known.source = known.source == origin::heard ? origin::declared : known.source;
         }
     }
     this->rebuild();
--- /dev/null
+++ b/tests/spread/peer_set_test.cpp
@@ -0,0 +1,76 @@
+#include "spread/peer_set.h"
+
+#include "declaration/example_objects.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace pomelohoist {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint16_t far_port = 100;
+
+net_address at(std::uint16_t port) {
+    return {"127.0.0.1", port};
+}
+
+class peer_set_test : public testing::Test {
+  protected:
+    manual_clock time;
+    seeded_random random{11};
+    peer_set peers{this->time, at(1), "centro-1"};
+};
+
+// Guards against announcements that never leave the data centre, or that mostly do.
+TEST_F(peer_set_test, chooses_mostly_the_own_data_centre) {
+    for (std::uint16_t port = 2; port < 12; ++port) {
+        this->peers.hear_from(at(port), "centro-1");
+        this->peers.hear_from(at(static_cast<std::uint16_t>(port + far_port)), "centro-2");
+    }
+    constexpr int draws = 4000;
+    int far = 0;
+    for (int i = 0; i < draws; ++i) {
+        const auto chosen = this->peers.choose(1, this->random);
+        ASSERT_EQ(chosen.size(), 1U);
+        far += chosen.front().port > far_port ? 1 : 0;
+    }
+    EXPECT_NEAR(far, draws * 0.25, draws * 0.05);
+    for (int i = 0; i < 100; ++i) {
+        const auto chosen = this->peers.choose(2, this->random);
+        EXPECT_TRUE(chosen.size() < 2 || chosen[0] != chosen[1]) << "one peer twice in a round";
+    }
+}
+
+// Guards against a process that announces to itself, or to nobody when all others are elsewhere.
+TEST_F(peer_set_test, leaves_itself_out_and_reaches_other_data_centres) {
+    EXPECT_TRUE(this->peers.choose(2, this->random).empty());
+    this->peers.hear_from(at(1), "centro-1");
+    EXPECT_EQ(this->peers.size(), 0U);
+    this->peers.add_seeds({{at(1), "centro-1"}, {at(5), "centro-2"}});
+    EXPECT_EQ(this->peers.choose(1, this->random), std::vector<net_address>{at(5)});
+}
+
+// Guards against processes that are gone and stay known, and against declared agents that are forgotten.
+TEST_F(peer_set_test, forgets_silent_processes_unless_declared) {
+    const auto declared = configuration::build(1, make_example_objects(1, 2));
+    ASSERT_TRUE(declared) << declared.last_error().reason;
+    const net_address agent = declared->endpoints().front().agent;
+    this->peers.hear_from(at(7), "centro-1");
+    this->peers.hear_from(agent, "centro-1");
+    this->peers.set_declared(*declared);
+    EXPECT_EQ(this->peers.size(), 3U);
+    this->time.advance(16min);
+    this->peers.hear_from(at(8), "centro-1");
+    const auto known = this->peers.all();
+    EXPECT_EQ(std::count(known.begin(), known.end(), at(7)), 0);
+    EXPECT_EQ(std::count(known.begin(), known.end(), agent), 1);
+    EXPECT_EQ(std::count(known.begin(), known.end(), at(8)), 1);
+    this->peers.set_declared(configuration{});
+    EXPECT_EQ(this->peers.all(), std::vector<net_address>{at(8)});
+}
+
+} // namespace
+} // namespace pomelohoist
