--- a/tests/lease/lease_test.cpp
+++ b/tests/lease/lease_test.cpp
@@ -1,5 +1,6 @@
 #include "lease/lease.h"
 
+#include "common/random_source.h"
 #include "platform/memory_table.h"
 
 #include <pomelohoist/config.h>
@@ -144,5 +145,53 @@
     EXPECT_EQ(winners, 1);
 }
 
+// Guards against two holders, or an epoch that falls, in any order of pauses, outages, lost answers and releases.
+TEST(lease_property_test, one_holder_at_any_moment_and_rising_epochs) {
+    constexpr std::uint64_t seeds = 200;
+    constexpr int steps = 400;
+    constexpr std::size_t processes = 3;
+    std::uint64_t changes_of_holder = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        seeded_random random{seed};
+        memory_table table;
+        manual_clock time;
+        std::vector<std::unique_ptr<lease>> leases;
+        leases.reserve(processes);
+        for (std::size_t i = 0; i < processes; ++i) {
+            leases.push_back(std::make_unique<lease>(table, time, "g", "p" + std::to_string(i)));
+        }
+        std::uint64_t highest = 0;
+        std::size_t last_holder = processes;
+        for (int step = 0; step < steps; ++step) {
+            const bool is_long_pause = random.next_below(20) == 0;
+            time.advance(std::chrono::milliseconds{random.next_below(is_long_pause ? 5000 : 700)});
+            table.faults().set_down(random.next_below(10) == 0);
+            table.faults().lose_answers(random.next_below(5) == 0 ? 1 : 0);
+            table.faults().fail_reads(random.next_below(10) == 0 ? 1 : 0);
+            lease& acting = *leases[random.next_below(processes)];
+            if (random.next_below(30) == 0) {
+                acting.release();
+            } else {
+                acting.try_hold();
+            }
+            std::size_t holders = 0;
+            for (std::size_t i = 0; i < processes; ++i) {
+                const auto epoch = leases[i]->held_epoch();
+                if (!epoch) {
+                    continue;
+                }
+                ++holders;
+                ASSERT_TRUE(last_holder == i ? *epoch >= highest : *epoch > highest)
+                    << "seed " << seed << " step " << step << ": epoch " << *epoch << " after " << highest;
+                changes_of_holder += last_holder == i ? 0 : 1;
+                highest = *epoch;
+                last_holder = i;
+            }
+            ASSERT_LE(holders, 1U) << "seed " << seed << " step " << step;
+        }
+    }
+    EXPECT_GT(changes_of_holder, seeds) << "the schedules hardly moved the lease";
+}
+
 } // namespace
 } // namespace pomelohoist
