--- a/tests/spread/configuration_commit_test.cpp
+++ b/tests/spread/configuration_commit_test.cpp
@@ -97,6 +97,21 @@
     EXPECT_EQ(this->label("workspace-1", "size"), "small");
 }
 
+// Guards against one change that is accepted twice, or refused to one of its senders, when it is sent again at once.
+TEST_F(configuration_commit_test, same_change_from_several_senders_counts_once) {
+    constexpr std::uint64_t rounds = 50;
+    for (std::uint64_t round = 0; round < rounds; ++round) {
+        const std::string number = std::to_string(round);
+        const auto change = make_relabel("change " + number, "workspace-1", "l" + number, std::nullopt, "v");
+        this->table.faults().lose_answers(round % 3);
+        for (const auto& each : this->commit_all({change, change, change, change})) {
+            EXPECT_TRUE(each) << each.last_error().reason;
+        }
+        this->table.faults().lose_answers(0);
+        ASSERT_EQ(*this->store.read_version(), round + 2);
+    }
+}
+
 // Guards against a change id that is forgotten when its delta is removed.
 TEST_F(configuration_commit_test, change_id_outlives_its_delta) {
     const auto change = make_relabel("x", "workspace-1", "size", "small", "large");
