Bound the time that a frame waits for a peer that reads nothing

Cause: a paused entry fills the TCP window, and the agent's thread then waits in send for ever while it holds a slot of the endpoint. Ruled out: a watchdog in the agent, which would do by hand what SO_SNDTIMEO does. The 4 tests of inner pass; the timeout itself has no test of its own (it lasts 10 s).

--- a/src/inner/frame_channel.cpp
+++ b/src/inner/frame_channel.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t length_bytes = sizeof(std::uint32_t);
 constexpr long long microseconds_per_millisecond = 1000;
+constexpr std::chrono::milliseconds send_timeout{10000};
 
 Poco::Timespan to_poco(std::chrono::milliseconds duration) {
     return Poco::Timespan{duration.count() * microseconds_per_millisecond};
@@ -27,6 +28,8 @@
 frame_channel::frame_channel(const Poco::Net::StreamSocket& connected, std::string process_name)
     : socket(connected), name(std::move(process_name)) {
     this->socket.setNoDelay(true);
+    // A peer that is paused and reads nothing must not hold the sending thread, and with it a slot, for ever.
+    this->socket.setSendTimeout(to_poco(send_timeout));
 }
 
 result<frame_channel> frame_channel::connect(const net_address& target, const std::string& process_name,
