Test the agent, and wake one waiting run at a time

Ruled out: one scheduler thread, which would add a hop to each run. Every wait now has its own condition variable, and the queue is swept once per interval.

--- a/src/agent/run_scheduler.cpp
+++ b/src/agent/run_scheduler.cpp
@@ -29,8 +29,9 @@
 turn run_scheduler::wait_turn(const queue_item& item, const request_size& size,
                               const std::function<bool()>& is_abandoned) {
     std::unique_lock lock{this->mutex};
-    this->waits[item.id] = {size, turn::waiting};
-    this->drop_expired();
+    waiting_run& own = this->waits[item.id];
+    own.size = size;
+    this->sweep();
     const auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(item.latest_start - this->time.now());
     if (refuse_if_late(this->estimate_locked(size, item.importance, 0).wait, time_left)) {
         this->drop(item.id, turn::late);
@@ -38,16 +39,15 @@
         this->queue.push(item);
         this->dispatch();
     }
-    while (this->waits[item.id].state == turn::waiting) {
-        this->changed.wait_for(lock, abandoned_check_interval);
-        this->drop_expired();
-        this->dispatch();
-        if (this->waits[item.id].state == turn::waiting && is_abandoned()) {
+    while (own.state == turn::waiting) {
+        own.decided.wait_for(lock, abandoned_check_interval);
+        this->sweep();
+        if (own.state == turn::waiting && is_abandoned()) {
             this->queue.remove(item.id);
             this->drop(item.id, turn::cancelled);
         }
     }
-    const turn decided = this->waits[item.id].state;
+    const turn decided = own.state;
     this->waits.erase(item.id);
     return decided;
 }
@@ -90,11 +90,11 @@
         if (!next) {
             return;
         }
-        waiting_run& waiting = this->waits[next->id];
+        waiting_run& waiting = this->waits.at(next->id);
         const turn decided = this->decide(*next, waiting.size);
         if (decided == turn::granted) {
             waiting.state = decided;
-            this->changed.notify_all();
+            waiting.decided.notify_one();
         } else {
             this->drop(next->id, decided);
         }
@@ -131,14 +131,22 @@
     const auto found = this->waits.find(id);
     if (found != this->waits.end()) {
         found->second.state = reason;
+        found->second.decided.notify_one();
     }
-    this->changed.notify_all();
 }
 
-void run_scheduler::drop_expired() {
+// Every waiting thread calls this several times a second, so all but the first call in an interval return at once.
+void run_scheduler::sweep() {
+    const steady_time now = this->time.now();
+    if (now < this->next_sweep) {
+        return;
+    }
+    this->next_sweep = now + abandoned_check_interval;
     for (const queue_item& expired : this->queue.take_expired()) {
         this->drop(expired.id, turn::late);
     }
+    // A suspect may run now, or the endpoint may have come back, without any run having ended.
+    this->dispatch();
 }
 
 } // namespace pomelohoist
--- a/src/agent/run_scheduler.h
+++ b/src/agent/run_scheduler.h
@@ -57,6 +57,7 @@
     struct waiting_run {
         request_size size;
         turn state{turn::waiting};
+        std::condition_variable decided; ///< one for each, so that a grant wakes one thread only
     };
 
     load_estimate estimate_locked(const request_size& size, priority importance, std::size_t unused_tickets);
@@ -64,7 +65,7 @@
     turn decide(const queue_item& next, const request_size& size);
     bool may_run(const queue_item& candidate);
     void drop(const ticket& id, turn reason);
-    void drop_expired();
+    void sweep();
 
     const clock& time;
     std::uint32_t slots;
@@ -74,9 +75,9 @@
     const endpoint_state& state;
 
     std::mutex mutex;
-    std::condition_variable changed;
     fair_queue queue;
-    std::map<ticket, waiting_run> waits;
+    steady_time next_sweep{};
+    std::map<ticket, waiting_run> waits; ///< nodes stay in place while others come and go
     std::map<ticket, std::string> running_digests;
 };
 
--- a/src/agent/run_session.cpp
+++ b/src/agent/run_session.cpp
@@ -53,6 +53,10 @@
     template <class Message> bool pass(const Message& message) {
         if (this->is_connected) {
             this->is_connected = this->channel.send(message).has_value();
+            if (!this->is_connected) {
+                // Nothing may follow a frame that is missing or cut off.
+                this->channel.abort();
+            }
         }
         return this->is_connected || !this->request.reservation.idempotent;
     }
--- /dev/null
+++ b/tests/agent/http_call_test.cpp
@@ -0,0 +1,113 @@
+#include "agent/endpoint_driver.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <thread>
+
+namespace pomelohoist {
+namespace {
+
+/// Answers one connection with fixed bytes, and closes it then or keeps it open until the client closes it.
+class raw_server {
+  public:
+    raw_server(std::string answer_bytes, bool keep_open) : answer(std::move(answer_bytes)) {
+        std::signal(SIGPIPE, SIG_IGN);
+        this->thread = std::thread{[this, keep_open] { this->serve(keep_open); }};
+    }
+    ~raw_server() { this->thread.join(); }
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    [[nodiscard]] net_address address() const { return {"127.0.0.1", this->socket.address().port()}; }
+
+  private:
+    void serve(bool keep_open) {
+        Poco::Net::StreamSocket accepted = this->socket.acceptConnection();
+        accepted.setReceiveTimeout(Poco::Timespan{5, 0});
+        std::array<char, 4096> buffer{};
+        accepted.receiveBytes(buffer.data(), buffer.size());
+        accepted.sendBytes(this->answer.data(), static_cast<int>(this->answer.size()));
+        if (keep_open) {
+            accepted.receiveBytes(buffer.data(), buffer.size());
+        }
+    }
+
+    std::string answer;
+    Poco::Net::ServerSocket socket{Poco::Net::SocketAddress{"127.0.0.1", 0}};
+    std::thread thread;
+};
+
+class collecting_sink : public answer_sink {
+  public:
+    void on_send() override { this->sent = true; }
+    bool on_head(std::uint16_t answer_status, const std::vector<inner::header_field>& /*headers*/) override {
+        this->status = answer_status;
+        return true;
+    }
+    bool on_data(std::string_view data) override {
+        this->body += data;
+        return true;
+    }
+
+    bool sent{false};
+    std::uint16_t status{0};
+    std::string body;
+};
+
+run_outcome run_against(const std::string& answer, bool keep_open, collecting_sink& sink) {
+    const raw_server server{answer, keep_open};
+    abort_signal signal;
+    return make_model_driver(server.address())->run({"GET", "/x", {}, ""}, sink, signal).outcome;
+}
+
+const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+
+// Guards against a silently short answer: a lost connection ends a body in the same way as its last chunk does.
+TEST(http_call_test, cut_off_bodies_are_broken) {
+    collecting_sink sink;
+    EXPECT_EQ(run_against(chunked + "\r\n3\r\nabc\r\n", false, sink), run_outcome::broken);
+    EXPECT_EQ(sink.body, "abc");
+    EXPECT_EQ(run_against(chunked + "\r\n5\r\nab", false, sink), run_outcome::broken);
+    EXPECT_EQ(run_against("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", false, sink), run_outcome::broken);
+    EXPECT_EQ(run_against("HTTP/1.1 200 OK\r\n\r\nabc", false, sink), run_outcome::broken);
+    EXPECT_EQ(run_against("", false, sink), run_outcome::broken);
+}
+
+// Guards against an event stream without its end mark that passes as whole.
+TEST(http_call_test, event_stream_needs_its_end_mark) {
+    const std::string head = chunked + "Content-Type: text/event-stream\r\n\r\n";
+    collecting_sink sink;
+    EXPECT_EQ(run_against(head + "9\r\ndata: 1\n\n\r\n0\r\n\r\n", true, sink), run_outcome::broken);
+    EXPECT_EQ(run_against(head + "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", true, sink), run_outcome::completed);
+    EXPECT_EQ(run_against(head + "8\r\ndata: [D\r\n7\r\nONE]\n\n\n\r\n0\r\n\r\n", true, sink), run_outcome::completed);
+}
+
+// Guards against whole answers that are taken for broken ones.
+TEST(http_call_test, whole_bodies_are_complete) {
+    collecting_sink sink;
+    EXPECT_EQ(run_against(chunked + "\r\n3\r\nabc\r\n0\r\n\r\n", true, sink), run_outcome::completed);
+    EXPECT_EQ(run_against("HTTP/1.1 500 No\r\nContent-Length: 3\r\n\r\ndef", false, sink), run_outcome::completed);
+    EXPECT_EQ(sink.body, "abcdef");
+    EXPECT_EQ(sink.status, 500);
+    EXPECT_EQ(run_against("HTTP/1.1 204 No Content\r\n\r\n", true, sink), run_outcome::completed);
+}
+
+// Guards against "may have run" for a request that was never sent.
+TEST(http_call_test, closed_port_is_refused) {
+    net_address closed;
+    {
+        const Poco::Net::ServerSocket socket{Poco::Net::SocketAddress{"127.0.0.1", 0}};
+        closed = {"127.0.0.1", socket.address().port()};
+    }
+    collecting_sink sink;
+    abort_signal signal;
+    EXPECT_EQ(make_service_driver(closed)->run({"GET", "/", {}, ""}, sink, signal).outcome, run_outcome::refused);
+    EXPECT_FALSE(sink.sent);
+    EXPECT_FALSE(make_service_driver(closed)->check_health());
+}
+
+} // namespace
+} // namespace pomelohoist
--- /dev/null
+++ b/tests/agent/standin_test.cpp
@@ -0,0 +1,227 @@
+#include "../../standins/engine/token_rule.h"
+#include "agent/agent_daemon.h"
+#include "agent_fakes.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Pipe.h>
+#include <Poco/PipeStream.h>
+#include <Poco/Process.h>
+#include <Poco/StreamCopier.h>
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+namespace pomelohoist {
+namespace {
+
+using nlohmann::json;
+
+/// A stand-in's process, ended with its object.
+class standin_process {
+  public:
+    standin_process(const std::string& name, const std::vector<std::string>& arguments)
+        : process(Poco::Process::launch(std::string{POMELOHOIST_BIN_DIR} + "/" + name, arguments, nullptr, &this->pipe,
+                                        nullptr)) {
+        Poco::PipeInputStream output{this->pipe};
+        std::string line;
+        std::getline(output, line);
+        const auto parsed = net_address::parse(line.substr(line.find('=') + 1));
+        EXPECT_TRUE(parsed) << line;
+        this->served = parsed.value_or(net_address{});
+    }
+    ~standin_process() {
+        if (Poco::Process::isRunning(this->process)) {
+            Poco::Process::requestTermination(this->process.id());
+        }
+        this->process.wait();
+    }
+    standin_process(const standin_process&) = delete;
+    standin_process& operator=(const standin_process&) = delete;
+
+    [[nodiscard]] const net_address& address() const { return this->served; }
+
+    [[nodiscard]] json counts() const {
+        Poco::Net::HTTPClientSession session{this->served.ip, this->served.port};
+        Poco::Net::HTTPRequest request{"GET", "/standin/counts", "HTTP/1.1"};
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        std::string body;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+        return json::parse(body);
+    }
+
+  private:
+    Poco::Pipe pipe;
+    Poco::ProcessHandle process;
+    net_address served;
+};
+
+/// A source that starts with version 5 and is told the agent's address by the listener.
+std::unique_ptr<configuration_source> make_fake_source(const source_setup& setup) {
+    auto source = std::make_unique<fake_source>();
+    source->set(make_test_configuration(5, setup.listener.local_address(), {"127.0.0.1", 9}));
+    return source;
+}
+
+/// The answer of one run.
+struct run_answer {
+    std::uint16_t status{0};
+    std::string body;
+    std::optional<error_kind> failed;
+    std::optional<error_kind> refused;
+};
+
+class standin_test : public testing::Test {
+  protected:
+    standin_test() { this->client.start(nullptr); }
+
+    void start_agent(const std::string& kind, const net_address& endpoint_address) {
+        const std::string file =
+            (std::filesystem::path{testing::TempDir()} / ("agent-" + this->random.next_hex(8) + ".ini")).string();
+        std::ofstream{file} << "[process]\nname = agent-1\nhost = h-e1\n[inner]\naddress = 127.0.0.1:0\n[endpoint]\n"
+                            << "name = e1\nkind = " << kind << "\naddress = " << endpoint_address.to_string()
+                            << "\nslots = 4\n[platform]\naddress = 127.0.0.1:9\n";
+        agent_daemon_factory factory{[](const source_setup& setup) -> result<std::unique_ptr<configuration_source>> {
+            return make_fake_source(setup);
+        }};
+        settings_schema schema = common_schema();
+        const settings_schema own = factory.schema();
+        schema.insert(schema.end(), own.begin(), own.end());
+        const result<settings> checked = settings::load(file, schema);
+        std::filesystem::remove(file);
+        ASSERT_TRUE(checked) << checked.last_error().reason;
+        this->agent = factory.create(*checked, this->context);
+        const result<std::string> ready = this->agent->start();
+        ASSERT_TRUE(ready) << ready.last_error().reason;
+        this->address = *net_address::parse(ready->substr(ready->find('=') + 1));
+    }
+
+    result<inner::reserve_reply> reserve(const inner::reserve_request& request) {
+        return inner::call_datagram<inner::reserve_reply>(this->client, this->address, request,
+                                                          std::chrono::milliseconds{3000});
+    }
+
+    /// Reserves until the agent is ready, and sends the run.
+    inner::frame_channel start_run(const std::string& id, const std::string& path, const std::string& body) {
+        inner::run_request run;
+        run.reservation.request_id = id;
+        run.reservation.workspace = "w";
+        run.reservation.application = "a";
+        run.reservation.configuration_version = 5;
+        run.reservation.digest = sha256_hex(body);
+        run.method = "POST";
+        run.path = path;
+        run.headers = {{"Content-Type", "application/json"}, {"Idempotency-Key", id}};
+        run.body = body;
+        EXPECT_TRUE(eventually([&] {
+            const auto reply = this->reserve(run.reservation);
+            run.granted = reply && reply->accepted ? reply->accepted->granted : ticket{};
+            return run.granted.is_valid();
+        }));
+        auto channel = inner::frame_channel::connect(this->address, "entry", std::chrono::milliseconds{3000});
+        EXPECT_TRUE(channel && channel->send(run));
+        return *channel;
+    }
+
+    static run_answer read_answer(inner::frame_channel& channel) {
+        run_answer answer;
+        std::uint64_t chunks = 0;
+        while (true) {
+            const result<inner::packet> received = channel.receive(std::chrono::milliseconds{10000});
+            EXPECT_TRUE(received);
+            if (!received) {
+                return answer;
+            }
+            if (received->type == inner::message_type::run_head) {
+                answer.status = inner::decode_body<inner::run_head>(*received)->http_status;
+            } else if (received->type == inner::message_type::run_chunk) {
+                const auto chunk = inner::decode_body<inner::run_chunk>(*received);
+                EXPECT_EQ(chunk->number, chunks++);
+                answer.body += chunk->data;
+            } else if (received->type == inner::message_type::run_end) {
+                const auto end = inner::decode_body<inner::run_end>(*received);
+                EXPECT_EQ(end->chunks, chunks);
+                answer.failed = end->failed;
+                return answer;
+            } else {
+                answer.refused = inner::decode_body<inner::run_refused>(*received)->kind;
+                return answer;
+            }
+        }
+    }
+
+    system_clock time;
+    seeded_random random{system_seed()};
+    structured_log log{make_null_log()};
+    null_span_exporter spans;
+    metrics_registry metrics;
+    daemon_context context{time, random, log, spans, metrics};
+    inner::datagram_endpoint client{{"127.0.0.1", 0}, "entry", time};
+    std::unique_ptr<daemon> agent;
+    net_address address;
+};
+
+// Guards against wrong or short text on the way from an engine, whole and streamed.
+TEST_F(standin_test, engine_answers_pass_unchanged) {
+    const standin_process engine{"standin-engine", {}};
+    this->start_agent("model", engine.address());
+    auto whole_run = this->start_run("r1", "/v1/completions", R"({"prompt":"hola","max_tokens":20})");
+    const run_answer whole = read_answer(whole_run);
+    EXPECT_EQ(json::parse(whole.body).at("choices").at(0).at("text"), standin::answer_text("hola", 0, 20));
+    auto stream_run =
+        this->start_run("r2", "/v1/completions", R"({"prompt":"hola","max_tokens":20,"stream":true,"resume_from":5})");
+    const run_answer streamed = read_answer(stream_run);
+    EXPECT_FALSE(streamed.failed);
+    std::string text;
+    std::istringstream lines{streamed.body};
+    for (std::string line; std::getline(lines, line);) {
+        if (line.rfind("data: {", 0) == 0) {
+            text += json::parse(line.substr(6)).at("choices").at(0).at("text").get<std::string>();
+        }
+    }
+    EXPECT_EQ(text, standin::answer_text("hola", 5, 20));
+    EXPECT_EQ(engine.counts().at("finished"), (json{{"r1", 1}, {"r2", 1}}));
+    this->agent->stop();
+}
+
+// Guards against an answer that seems whole after the engine's process died, and against work for a dead engine.
+TEST_F(standin_test, engine_death_is_reported) {
+    const standin_process engine{"standin-engine", {"--crash-marker", "BOOM", "--token-ms", "20"}};
+    this->start_agent("model", engine.address());
+    auto innocent = this->start_run("r1", "/v1/completions", R"({"prompt":"x","max_tokens":500,"stream":true})");
+    ASSERT_TRUE(eventually([&] { return engine.counts().value("started", json::object()).contains("r1"); }));
+    auto crashing = this->start_run("r2", "/v1/completions", R"({"prompt":"BOOM"})");
+    EXPECT_EQ(read_answer(crashing).failed, error_kind::endpoint_failed);
+    EXPECT_EQ(read_answer(innocent).failed, error_kind::endpoint_failed);
+    inner::reserve_request next;
+    next.workspace = "w";
+    next.application = "a";
+    next.configuration_version = 5;
+    const auto reply = this->reserve(next);
+    ASSERT_TRUE(reply && !reply->accepted);
+    EXPECT_EQ(reply->refusal, error_kind::not_ready);
+    this->agent->stop();
+}
+
+// Guards against a booking that runs twice, and against a graceful stop that cuts one off.
+TEST_F(standin_test, service_runs_once_and_stop_waits) {
+    const standin_process service{"standin-service", {"--delay-ms", "300"}};
+    this->start_agent("service", service.address());
+    auto channel = this->start_run("r1", "/visits?day=1", "body");
+    ASSERT_TRUE(eventually([&] { return service.counts().contains("keys"); }));
+    std::thread stopping{[this] { this->agent->stop(); }};
+    const run_answer answer = read_answer(channel);
+    stopping.join();
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_FALSE(answer.failed);
+    EXPECT_EQ(json::parse(answer.body),
+              (json{{"method", "POST"}, {"path", "/visits?day=1"}, {"body_sha256", sha256_hex("body")}}));
+    EXPECT_EQ(service.counts().at("keys"), (json{{"r1", 1}}));
+    EXPECT_EQ(service.counts().at("finished"), (json{{"r1", 1}}));
+}
+
+} // namespace
+} // namespace pomelohoist
