Test the entry with scripted agents over loopback sockets

The forwarder's failures lie between reserve and end record, so a scripted agent refuses, breaks, skips, mixes up and crashes there, with and without an idempotency key. Also names callers that are gone in the metrics.

--- a/src/entry/forwarder.cpp
+++ b/src/entry/forwarder.cpp
@@ -49,7 +49,9 @@
         rounds.tried.insert(reserved.accepted->target.name);
         const bool again = is_transient(report) && may_run_again(request, log, answer);
         if (!again || !rounds.pause(request, true)) {
-            return give_up(request, answer, log, {report.reason, {}, false, true});
+            forward_outcome outcome = give_up(request, answer, log, {report.reason, {}, false, true});
+            outcome.caller_gone = outcome.caller_gone || is_caller_gone(report);
+            return outcome;
         }
     }
 }
--- a/src/entry/http_front.cpp
+++ b/src/entry/http_front.cpp
@@ -86,8 +86,8 @@
 
 http_front::http_front(const net_address& local, const clock& time_source)
     : time(time_source),
-      socket(std::make_unique<Poco::Net::ServerSocket>(Poco::Net::SocketAddress{local.ip, local.port}, listen_backlog)),
-      bound{local.ip, this->socket.address().port()} {}
+      socket(Poco::Net::SocketAddress{local.ip, local.port}, listen_backlog), bound{local.ip,
+                                                                                    this->socket.address().port()} {}
 
 http_front::~http_front() {
     this->stop();
--- a/src/entry/retry_state.cpp
+++ b/src/entry/retry_state.cpp
@@ -37,8 +37,7 @@
     default:
         break;
     }
-    const bool caller_gone = report.ending == run_ending::given_up && report.reason.kind == error_kind::unreachable;
-    return report.ending != run_ending::whole && !caller_gone;
+    return report.ending != run_ending::whole && !is_caller_gone(report);
 }
 
 } // namespace pomelohoist
--- a/src/entry/run_connection.cpp
+++ b/src/entry/run_connection.cpp
@@ -95,6 +95,10 @@
 
 } // namespace
 
+bool is_caller_gone(const run_report& report) {
+    return report.ending == run_ending::given_up && report.reason.kind == error_kind::unreachable;
+}
+
 run_connection::run_connection(const clock& time_source, std::string process_name)
     : time(time_source), name(std::move(process_name)) {}
 
--- a/src/entry/run_connection.h
+++ b/src/entry/run_connection.h
@@ -43,6 +43,9 @@
     friend bool operator==(const run_report&, const run_report&) = default;
 };
 
+/// @returns true when the run was given up because its caller was gone
+bool is_caller_gone(const run_report& report);
+
 class run_connection {
   public:
     /// @param process_name sent with each packet
--- /dev/null
+++ b/tests/entry/answer_stream_test.cpp
@@ -0,0 +1,100 @@
+#include "entry/answer_stream.h"
+#include "entry/retry_budget.h"
+#include "entry_fixture.h"
+
+namespace pomelohoist {
+namespace {
+
+class recording_sink : public answer_sink {
+  public:
+    void add_header(const std::string& /*name*/, const std::string& /*value*/) override {}
+    void send_whole(const whole_answer& answer) override { this->text += answer.body; }
+    void begin_stream(std::uint16_t /*status*/, const std::vector<inner::header_field>& /*headers*/) override {}
+    bool send_piece(const std::string& data) override {
+        this->text += data;
+        return true;
+    }
+    void end_stream() override { this->ended = true; }
+    void send_failure(const request_failure& failed) override { this->text += make_error_reply(failed).body; }
+    [[nodiscard]] bool is_gone() override { return false; }
+
+    std::string text;
+    bool ended{false};
+};
+
+const inner::run_head stream_head{{1, 1}, 200, {{"content-type", "text/event-stream; charset=utf-8"}}};
+
+// Guards against events that are cut, lost or miscounted when chunks end anywhere, also within an event.
+TEST(answer_stream_test, gives_the_same_events_for_any_chunks) {
+    const std::string all = whole_stream();
+    for (std::size_t size = 1; size < 40; ++size) {
+        entry_request request;
+        request.stream = true;
+        recording_sink sink;
+        answer_stream answer{request, sink};
+        ASSERT_TRUE(answer.take_head(stream_head));
+        for (std::size_t position = 0; position < all.size(); position += size) {
+            ASSERT_TRUE(answer.take_data(all.substr(position, size)));
+        }
+        EXPECT_EQ(answer.tokens_sent(), fake_tokens);
+        EXPECT_EQ(sink.text.find("[DONE]"), std::string::npos);
+        answer.finish();
+        EXPECT_EQ(sink.text, all);
+        EXPECT_TRUE(sink.ended);
+    }
+}
+
+// Guards against a resumed stream whose engine does not stream, which would mix two forms of answer.
+TEST(answer_stream_test, refuses_to_go_on_with_another_form) {
+    entry_request request;
+    request.stream = true;
+    recording_sink sink;
+    answer_stream answer{request, sink};
+    ASSERT_TRUE(answer.take_head(stream_head));
+    ASSERT_TRUE(answer.take_data(whole_stream()));
+    answer.prepare_attempt();
+    EXPECT_FALSE(answer.take_head({{1, 2}, 503, {{"Content-Type", "application/json"}}}));
+}
+
+// Guards against retries that multiply an overload.
+TEST(retry_budget_test, allows_a_share_of_the_requests) {
+    seeded_random random{5};
+    retry_budget budget{random};
+    while (budget.try_spend()) {
+    }
+    for (int i = 0; i < 100; ++i) {
+        budget.note_request();
+    }
+    int retries = 0;
+    while (budget.try_spend()) {
+        ++retries;
+    }
+    EXPECT_NEAR(retries, 100 * config::retry_budget_share, 1);
+    for (std::uint32_t retry = 1; retry < 40; ++retry) {
+        EXPECT_LE(budget.backoff(retry), config::retry_backoff_cap);
+    }
+}
+
+// Guards against "not run" without a proof: each state of an attempt, and an attempt before the last one.
+TEST(attempt_log_test, gives_a_proof_only_when_nothing_may_have_run) {
+    attempt_log log;
+    EXPECT_TRUE(log.proof());
+    log.note_reserved({1, 1});
+    EXPECT_TRUE(log.proof());
+    log.note_sent();
+    EXPECT_FALSE(log.proof());
+    log.note_refused({1, 2});
+    EXPECT_FALSE(log.proof());
+    for (const auto state : {inner::ticket_state::running, inner::ticket_state::completed, inner::ticket_state::started,
+                             inner::ticket_state::unknown}) {
+        log.note_ticket_state(state);
+        EXPECT_FALSE(log.proof());
+    }
+    log.note_reserved({1, 3});
+    log.note_sent();
+    log.note_refused({1, 3});
+    EXPECT_FALSE(log.proof());
+}
+
+} // namespace
+} // namespace pomelohoist
--- /dev/null
+++ b/tests/entry/fake_agent.h
@@ -0,0 +1,269 @@
+#pragma once
+
+#include "inner/peer_listener.h"
+
+#include <pomelohoist/clock.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// An agent with its endpoint that follows a script, over real loopback sockets.
+namespace pomelohoist {
+
+/// What happens to a run.
+enum class run_script : std::uint8_t {
+    answer,
+    refuse,
+    lose_run,            ///< the connection breaks before the run message is acted on
+    break_before_head,   ///< runs, then breaks
+    break_mid_answer,    ///< runs, then breaks between two chunks
+    skip_chunk,          ///< a chunk is missing
+    wrong_ticket,        ///< chunks of another ticket
+    wrong_count,         ///< the end record counts one chunk too many
+    crash,               ///< breaks between two chunks and forgets all tickets
+    endpoint_failure,    ///< the end record names a failure
+    complete_then_break, ///< keeps the whole answer, but the connection breaks before the end record
+    late_end,            ///< everything but the end record, which comes after a second
+    silent,              ///< accepts the run and sends nothing for a second
+    count
+};
+
+constexpr std::uint64_t fake_tokens = 6;
+
+class fake_agent : public inner::datagram_handler, public inner::stream_handler {
+  public:
+    explicit fake_agent(const std::string& agent_name)
+        : name(agent_name), listener({"127.0.0.1", 0}, agent_name, time) {
+        this->listener.start(*this, *this);
+    }
+    ~fake_agent() override { this->listener.stop(); }
+    fake_agent(const fake_agent&) = delete;
+    fake_agent& operator=(const fake_agent&) = delete;
+
+    [[nodiscard]] net_address address() const { return this->listener.local_address(); }
+
+    void script(std::vector<run_script> next_runs) {
+        const std::lock_guard lock{this->mutex};
+        this->scripts.assign(next_runs.begin(), next_runs.end());
+    }
+    void refuse_reserves(std::optional<error_kind> kind) {
+        const std::lock_guard lock{this->mutex};
+        this->refusal = kind;
+    }
+    [[nodiscard]] int runs_of(const std::string& digest) {
+        const std::lock_guard lock{this->mutex};
+        return this->runs[digest];
+    }
+    [[nodiscard]] int total_runs() {
+        const std::lock_guard lock{this->mutex};
+        int total = 0;
+        for (const auto& [digest, number] : this->runs) {
+            total += number;
+        }
+        return total;
+    }
+    [[nodiscard]] std::string last_digest() {
+        const std::lock_guard lock{this->mutex};
+        return this->latest.reservation.digest;
+    }
+    [[nodiscard]] inner::run_request last_run() {
+        const std::lock_guard lock{this->mutex};
+        return this->latest;
+    }
+
+    std::atomic<std::uint64_t> configuration_version{1}; ///< entries below it are refused as stale
+    std::atomic<int> suspects{0};
+    std::atomic<int> aborts{0};
+    std::atomic<std::uint32_t> first_token_ms{10};
+
+    inner::payload handle_datagram(const inner::packet& request) override {
+        if (request.type == inner::message_type::reserve_request) {
+            return inner::to_payload(this->reserve(*inner::decode_body<inner::reserve_request>(request)));
+        }
+        if (request.type == inner::message_type::cancel_request) {
+            const auto cancel = *inner::decode_body<inner::cancel_request>(request);
+            this->aborts += cancel.abort_running ? 1 : 0;
+            const inner::ticket_state state = this->ask(cancel.target).state;
+            const bool ran = state == inner::ticket_state::running || state == inner::ticket_state::completed;
+            return inner::to_payload(inner::cancel_reply{ran ? inner::ticket_state::started : state});
+        }
+        if (request.type == inner::message_type::suspect_report) {
+            ++this->suspects;
+            return inner::to_payload(inner::suspect_ack{inner::decode_body<inner::suspect_report>(request)->event_id});
+        }
+        return inner::to_payload(inner::failure_reply{error_kind::not_found, "not served"});
+    }
+
+    void handle_stream(const inner::packet& first, inner::frame_channel& channel) override {
+        if (first.type == inner::message_type::outcome_request) {
+            channel.send(this->ask(inner::decode_body<inner::outcome_request>(first)->target));
+            return;
+        }
+        const auto run = *inner::decode_body<inner::run_request>(first);
+        const run_script script = this->next_script();
+        if (script == run_script::lose_run) {
+            return;
+        }
+        if (script == run_script::refuse || !this->begin_run(run)) {
+            channel.send(inner::run_refused{run.granted, error_kind::ticket_refused, "refused"});
+            return;
+        }
+        this->answer(run, script, channel);
+    }
+
+  private:
+    inner::reserve_reply reserve(const inner::reserve_request& request) {
+        const std::lock_guard lock{this->mutex};
+        inner::reserve_reply reply;
+        reply.configuration_version = this->configuration_version;
+        if (request.configuration_version < this->configuration_version) {
+            reply.refusal = error_kind::stale_configuration;
+        } else if (this->refusal) {
+            reply.refusal = *this->refusal;
+            reply.retry_after_ms = 2500;
+        } else {
+            const ticket granted{this->incarnation, ++this->tickets};
+            this->states[granted.number].state = inner::ticket_state::not_started;
+            reply.accepted = inner::offer{granted, 0, this->first_token_ms, 0, 0};
+        }
+        return reply;
+    }
+
+    // A ticket that was not run is void afterwards.
+    inner::outcome_reply ask(const ticket& target) {
+        const std::lock_guard lock{this->mutex};
+        const auto found = this->states.find(target.number);
+        if (target.incarnation != this->incarnation || found == this->states.end()) {
+            return {inner::ticket_state::unknown, std::nullopt};
+        }
+        found->second.voided = true;
+        return {found->second.state, found->second.answer};
+    }
+
+    run_script next_script() {
+        const std::lock_guard lock{this->mutex};
+        if (this->scripts.empty()) {
+            return run_script::answer;
+        }
+        const run_script next = this->scripts.front();
+        this->scripts.pop_front();
+        return next;
+    }
+
+    bool begin_run(const inner::run_request& run) {
+        const std::lock_guard lock{this->mutex};
+        const auto found = this->states.find(run.granted.number);
+        const bool known = run.granted.incarnation == this->incarnation && found != this->states.end();
+        if (!known || found->second.voided || found->second.state != inner::ticket_state::not_started) {
+            return false;
+        }
+        found->second.state = inner::ticket_state::running;
+        this->latest = run;
+        ++this->runs[run.reservation.digest];
+        return true;
+    }
+
+    void end_run(const inner::run_request& run, const std::vector<std::string>& pieces, bool whole) {
+        const std::lock_guard lock{this->mutex};
+        ticket_entry& entry = this->states[run.granted.number];
+        entry.state = whole && run.keep_answer ? inner::ticket_state::completed : inner::ticket_state::started;
+        if (whole && run.keep_answer) {
+            std::string body;
+            for (const std::string& piece : pieces) {
+                body += piece;
+            }
+            entry.answer = inner::stored_answer{200, "application/json", body};
+        }
+    }
+
+    // Streams go on from `resume_from`; other answers repeat the request's body, so that a test can tell whose it is.
+    static std::vector<std::string> pieces_of(const inner::run_request& run) {
+        const auto body = nlohmann::json::parse(run.body, nullptr, false);
+        if (!body.is_object() || !body.value("stream", false)) {
+            const std::size_t half = run.body.size() / 2;
+            return {"echo:", run.body.substr(0, half), run.body.substr(half)};
+        }
+        std::vector<std::string> pieces{"data: {\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n"};
+        for (std::uint64_t token = body.value("resume_from", 0ULL); token < fake_tokens; ++token) {
+            pieces.push_back("data: {\"choices\":[{\"delta\":{\"content\":\"t" + std::to_string(token) + "\"}}]}\n\n");
+        }
+        pieces.emplace_back("data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n");
+        return pieces;
+    }
+
+    void answer(const inner::run_request& run, run_script script, inner::frame_channel& channel) {
+        const std::vector<std::string> pieces = pieces_of(run);
+        const bool stream = pieces.front().starts_with("data:");
+        if (script == run_script::silent) {
+            std::this_thread::sleep_for(std::chrono::seconds{1});
+        }
+        if (script != run_script::break_before_head && script != run_script::silent) {
+            channel.send(inner::run_head{
+                run.granted, 200, {{"Content-Type", stream ? "text/event-stream" : "application/json"}}});
+            this->send_pieces(run, script, pieces, channel);
+        }
+        const bool whole =
+            script == run_script::answer || script == run_script::complete_then_break || script == run_script::late_end;
+        this->end_run(run, pieces, whole);
+        if (script == run_script::crash) {
+            const std::lock_guard lock{this->mutex};
+            ++this->incarnation;
+            return;
+        }
+        if (script == run_script::late_end) {
+            std::this_thread::sleep_for(std::chrono::seconds{1});
+        }
+        if (script == run_script::endpoint_failure) {
+            channel.send(inner::run_end{run.granted, 1, error_kind::endpoint_failed, "the endpoint died"});
+        } else if (whole && script != run_script::complete_then_break) {
+            channel.send(inner::run_end{run.granted, pieces.size(), std::nullopt, ""});
+        } else if (script == run_script::skip_chunk || script == run_script::wrong_ticket ||
+                   script == run_script::wrong_count) {
+            channel.send(inner::run_end{run.granted, pieces.size() + 1, std::nullopt, ""});
+        }
+    }
+
+    void send_pieces(const inner::run_request& run, run_script script, const std::vector<std::string>& pieces,
+                     inner::frame_channel& channel) {
+        const bool breaks = script == run_script::break_mid_answer || script == run_script::crash ||
+                            script == run_script::endpoint_failure;
+        const std::size_t sent = breaks ? pieces.size() / 2 + 1 : pieces.size();
+        for (std::size_t i = 0; i < sent; ++i) {
+            ticket shown = run.granted;
+            shown.number += script == run_script::wrong_ticket && i > 0 ? 1 : 0;
+            if (script != run_script::skip_chunk || i != 1) {
+                channel.send(inner::run_chunk{shown, i, pieces[i]});
+            }
+        }
+    }
+
+    struct ticket_entry {
+        inner::ticket_state state{inner::ticket_state::not_started};
+        bool voided{false};
+        std::optional<inner::stored_answer> answer;
+    };
+
+    std::string name;
+    system_clock time;
+    std::mutex mutex;
+    std::deque<run_script> scripts;
+    std::optional<error_kind> refusal;
+    std::uint64_t incarnation{1000};
+    std::uint64_t tickets{0};
+    std::map<std::uint64_t, ticket_entry> states;
+    std::map<std::string, int> runs;
+    inner::run_request latest;
+    inner::peer_listener listener;
+};
+
+} // namespace pomelohoist
