Refuse at once when every endpoint is full, and tell methods apart under a key

With all endpoints overloaded the entry asked the same ones again up to three times before it answered 429, which delayed the refusal and added load; now it asks again only where an answer may change.

--- a/src/entry/claimed_forwarder.cpp
+++ b/src/entry/claimed_forwarder.cpp
@@ -1,5 +1,7 @@
 #include "entry/claimed_forwarder.h"
 
+#include "common/digest.h"
+
 #include <pomelohoist/config.h>
 
 #include <utility>
@@ -10,6 +12,11 @@
 
 constexpr std::size_t attempt_id_bytes = 16;
 
+// The digest of a request leaves out the method, but PUT and DELETE on one path are different requests under a key.
+std::string claim_digest(const entry_request& request) {
+    return sha256_hex(request.method + ":" + request.digest);
+}
+
 failure store_failure(const failure& reason) {
     return {error_kind::store_unavailable,
             "this attempt was not run, because the claim could not be made: " + reason.reason};
@@ -89,7 +96,7 @@
 std::optional<claim_record> claimed_forwarder::obtain_claim(claimed_request& claimed, const reservation& accepted) {
     claim wanted;
     wanted.attempt = this->services.context.random.next_hex(attempt_id_bytes);
-    wanted.body_digest = claimed.request.digest;
+    wanted.body_digest = claim_digest(claimed.request);
     wanted.agent = accepted.target.agent;
     wanted.granted = accepted.granted.granted;
     result<claim_record> standing = claimed.previous
@@ -153,7 +160,7 @@
 }
 
 claimed_forwarder::resolution claimed_forwarder::resolve(const claimed_request& claimed, const claim_record& found) {
-    if (found.content.body_digest != claimed.request.digest) {
+    if (found.content.body_digest != claim_digest(claimed.request)) {
         return {false,
                 std::nullopt,
                 {error_kind::idempotency_conflict, "the key was used for another request of this workspace"}};
--- a/src/entry/error_reply.h
+++ b/src/entry/error_reply.h
@@ -31,7 +31,7 @@
 /// @returns the failure as a server-sent event `error`, for a stream that has begun
 std::string make_error_event(const request_failure& failed);
 
-/// @param kind reason of the last attempt
+/// @param reason of the last attempt
 /// @returns the failure; `outcome_unknown` when a non-idempotent request may have run
 request_failure judge_failure(const failure& reason, const attempt_log& log, bool idempotent);
 
--- a/src/entry/reserver.cpp
+++ b/src/entry/reserver.cpp
@@ -22,6 +22,7 @@
 
 struct reserver::round {
     inner::reserve_request request;
+    std::vector<endpoint_handle> eligible;
     std::vector<asked_endpoint> endpoints;
 };
 
@@ -54,20 +55,33 @@
                                     error_kind::timeout, error_kind::unreachable};
 
 reserve_refusal to_refusal(const failure& reason) {
+    reserve_refusal refused;
+    refused.reason = reason;
     switch (reason.kind) {
     case error_kind::overloaded:
+        refused.retryable = true;
+        refused.final_when_all_tried = true;
+        break;
     case error_kind::stale_configuration:
-        return {reason, {}, true, reason.kind == error_kind::overloaded};
+        refused.retryable = true;
+        refused.spends_budget = false;
+        break;
     case error_kind::draining:
-        return {
-            {error_kind::no_endpoint, "the endpoints that were asked are draining: " + reason.reason}, {}, true, false};
+        refused.reason = {error_kind::no_endpoint, "the endpoints that were asked are draining: " + reason.reason};
+        refused.retryable = true;
+        refused.spends_budget = false;
+        refused.final_when_all_tried = true;
+        break;
     case error_kind::endpoint_failed:
     case error_kind::timeout:
     case error_kind::unreachable:
-        return {{error_kind::no_endpoint, "no endpoint accepts the request: " + reason.reason}, {}, true, true};
+        refused.reason = {error_kind::no_endpoint, "no endpoint accepts the request: " + reason.reason};
+        refused.retryable = true;
+        break;
     default:
-        return {reason, {}, false, true};
+        break;
     }
+    return refused;
 }
 
 reserve_refusal sum_up(const std::vector<asked_endpoint>& endpoints) {
@@ -127,7 +141,7 @@
         outcome.refused.reason = {error_kind::deadline_exceeded, "the deadline passed before an endpoint accepted"};
         return outcome;
     }
-    const std::vector<endpoint_handle> chosen = this->choose(request, declared, tried, outcome.refused);
+    const std::vector<endpoint_handle> chosen = this->choose(request, declared, tried, asked, outcome.refused);
     if (chosen.empty()) {
         return outcome;
     }
@@ -140,11 +154,19 @@
     }
     this->read_replies(this->calls.call_all(requests, std::min(config::reserve_timeout, left)), asked);
     this->note_refusals(declared, asked, tried);
-    return this->take_best(declared, asked);
+    outcome = this->take_best(declared, asked);
+    const bool all_tried =
+        std::all_of(asked.eligible.begin(), asked.eligible.end(), [&declared, &tried](const endpoint_handle handle) {
+            return tried.contains(declared.at(handle).name);
+        });
+    // A full or draining endpoint gives the same answer again; only a silent one may have lost a datagram.
+    outcome.refused.retryable = outcome.refused.retryable && !(all_tried && outcome.refused.final_when_all_tried);
+    return outcome;
 }
 
 std::vector<endpoint_handle> reserver::choose(const entry_request& request, const configuration& declared,
-                                              const std::set<std::string>& tried, reserve_refusal& refused) {
+                                              const std::set<std::string>& tried, round& asked,
+                                              reserve_refusal& refused) {
     const std::vector<endpoint_handle> reachable =
         declared.reachable(request.workspace, request.application, request.kind, request.serves);
     if (reachable.empty()) {
@@ -159,6 +181,7 @@
         const endpoint& target = declared.at(handle);
         if (!this->configurations.is_leaving(target.host)) {
             const bool avoided = tried.contains(target.name) || this->marks.is_avoided(target.name);
+            asked.eligible.push_back(handle);
             staying.push_back({handle, hash64(target.name), 0, avoided});
         }
     }
--- a/src/entry/reserver.h
+++ b/src/entry/reserver.h
@@ -30,8 +30,9 @@
 struct reserve_refusal {
     failure reason;
     std::chrono::milliseconds retry_after{0};
-    bool retryable{false};    ///< other endpoints, or the same ones later, may accept
-    bool spends_budget{true}; ///< asking again adds load where load may be the cause
+    bool retryable{false};            ///< other endpoints, or the same ones later, may accept
+    bool spends_budget{true};         ///< asking again adds load where load may be the cause
+    bool final_when_all_tried{false}; ///< asking the same endpoints again is useless
 
     friend bool operator==(const reserve_refusal&, const reserve_refusal&) = default;
 };
@@ -59,7 +60,7 @@
     reserve_outcome ask(const entry_request& request, const configuration& declared, std::set<std::string>& tried,
                         round& asked);
     std::vector<endpoint_handle> choose(const entry_request& request, const configuration& declared,
-                                        const std::set<std::string>& tried, reserve_refusal& refused);
+                                        const std::set<std::string>& tried, round& asked, reserve_refusal& refused);
     void read_replies(const std::vector<result<inner::packet>>& replies, round& asked);
     void note_refusals(const configuration& declared, const round& asked, std::set<std::string>& tried);
     reserve_outcome take_best(const configuration& declared, const round& asked);
--- a/tests/entry/claimed_forwarder_test.cpp
+++ b/tests/entry/claimed_forwarder_test.cpp
@@ -36,6 +36,9 @@
     const http_reply other = this->call(keyed("another order"));
     EXPECT_EQ(other.status, 422);
     EXPECT_EQ(other.kind(), "idempotency_conflict");
+    http_call other_method = keyed("order");
+    other_method.method = "DELETE";
+    EXPECT_EQ(this->call(other_method).kind(), "idempotency_conflict");
     EXPECT_EQ(this->total_runs(), 1);
 }
 
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -100,6 +100,17 @@
     }
 };
 
+/// Keeps the finished spans.
+class recording_exporter : public span_exporter {
+  public:
+    void export_span(const span_record& finished) override {
+        const std::lock_guard lock{this->mutex};
+        this->finished_spans.push_back(finished);
+    }
+    std::mutex mutex;
+    std::vector<span_record> finished_spans;
+};
+
 class fake_platform : public entry_platform_factory {
   public:
     result<entry_platform> connect(const settings& /*checked*/, const daemon_context& /*context*/,
@@ -158,7 +169,9 @@
         this->served = this->factory.create(*loaded, this->context);
         const result<std::string> addresses = this->served->start();
         EXPECT_TRUE(addresses) << addresses.last_error().reason;
-        this->http = *net_address::parse(addresses->substr(addresses->find("http=") + 5));
+        const std::size_t split = addresses->find(" http=");
+        this->inner_address = *net_address::parse(addresses->substr(6, split - 6));
+        this->http = *net_address::parse(addresses->substr(split + 6));
         std::remove(file.c_str());
     }
     /// Declares a model endpoint and a service endpoint at each agent.
@@ -246,13 +259,14 @@
     system_clock time;
     seeded_random random{42};
     structured_log log{make_null_log()};
-    null_span_exporter spans;
+    recording_exporter spans;
     metrics_registry metrics;
     daemon_context context{time, random, log, spans, metrics};
     fake_platform platform;
     entry_daemon_factory factory{platform};
     std::unique_ptr<daemon> served;
     net_address http;
+    net_address inner_address;
     std::vector<std::unique_ptr<fake_agent>> agents;
 };
 
--- a/tests/entry/fake_agent.h
+++ b/tests/entry/fake_agent.h
@@ -83,6 +83,7 @@
 
     std::atomic<std::uint64_t> configuration_version{1}; ///< entries below it are refused as stale
     std::atomic<int> suspects{0};
+    std::atomic<int> reserves{0};
     std::atomic<int> aborts{0};
     std::atomic<std::uint32_t> first_token_ms{10};
 
@@ -123,6 +124,7 @@
 
   private:
     inner::reserve_reply reserve(const inner::reserve_request& request) {
+        ++this->reserves;
         const std::lock_guard lock{this->mutex};
         inner::reserve_reply reply;
         reply.configuration_version = this->configuration_version;
--- a/tests/entry/forwarder_test.cpp
+++ b/tests/entry/forwarder_test.cpp
@@ -17,6 +17,46 @@
     EXPECT_EQ(this->call(model(true)).body, whole_stream());
 }
 
+// Guards against hops that cannot be joined to the caller's trace.
+TEST_F(forwarder_test, joins_spans_to_the_callers_trace) {
+    this->start_agents(1);
+    const std::string trace_id(32, 'a');
+    this->call(model(false, {{"traceparent", "00-" + trace_id + "-" + std::string(16, 'b') + "-01"}}));
+    const trace_context sent = this->agents[0]->last_run().trace;
+    EXPECT_EQ(sent.trace_id, trace_id);
+    std::map<std::string, span_record> spans;
+    for (int i = 0; i < 100 && spans.size() < 3; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        const std::lock_guard lock{this->spans.mutex};
+        for (const span_record& span : this->spans.finished_spans) {
+            spans[span.name] = span;
+        }
+    }
+    ASSERT_EQ(spans.size(), 3U);
+    EXPECT_EQ(spans["entry.request"].parent_span_id, std::string(16, 'b'));
+    EXPECT_EQ(spans["entry.reserve"].parent_span_id, spans["entry.request"].context.span_id);
+    EXPECT_EQ(spans["entry.run"].context.span_id, sent.span_id);
+}
+
+// Guards against an entry that its operators and peers cannot ask.
+TEST_F(forwarder_test, answers_peers) {
+    this->start_agents(1);
+    inner::datagram_endpoint caller{{"127.0.0.1", 0}, "peer", this->time};
+    caller.start(nullptr);
+    const std::chrono::milliseconds timeout{3000};
+    const auto status =
+        inner::call_datagram<inner::status_reply>(caller, this->inner_address, inner::status_request{}, timeout);
+    ASSERT_TRUE(status);
+    EXPECT_EQ(status->role, "entry");
+    EXPECT_EQ(status->configuration_version, 1U);
+    EXPECT_TRUE(inner::call_datagram<inner::announce_reply>(caller, this->inner_address, inner::announce{}, timeout));
+    EXPECT_TRUE(inner::call_stream<inner::pull_reply>(this->inner_address, "peer", inner::pull_request{}, timeout));
+    const auto refused =
+        inner::call_datagram<inner::cancel_reply>(caller, this->inner_address, inner::cancel_request{}, timeout);
+    EXPECT_EQ(refused.last_error().kind, error_kind::not_found);
+    caller.stop();
+}
+
 /// One run that goes wrong.
 class broken_run_test : public entry_fixture, public testing::WithParamInterface<run_script> {};
 
@@ -148,6 +188,7 @@
     EXPECT_EQ(reply.status, 429);
     EXPECT_EQ(reply.retry_after, "3");
     EXPECT_TRUE(reply.not_run());
+    EXPECT_EQ(this->agents[0]->reserves, 1);
 }
 
 // Guards against a stale entry that refuses its callers instead of taking the newer configuration.
