Bound the numbers of a trace

Cause: tokens of 1e300 filled the table with 300 digits, and larger sums would overflow to infinity and skews that are no numbers. Ruled out: printing only; the estimators would still see infinite loads. Before: accepted, table not readable. After: refused with file, line and reason above 1e15, or for speeds below 1e-6; times are printed with six digits. Conclusion: every accepted trace has finite results.

--- a/src/replay/expert_trace.cpp
+++ b/src/replay/expert_trace.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <utility>
 
 namespace pomelohoist {
@@ -15,6 +14,9 @@
 
 // Bounds the memory that a malformed first line can ask for.
 constexpr std::uint64_t max_cells = 1ULL << 28U;
+// Sums and squares of larger numbers lose precision or overflow.
+constexpr double max_number = 1e15;
+constexpr double min_speed = 1e-6;
 
 std::optional<std::uint64_t> read_unsigned(const json& object, const char* key) {
     const auto found = object.find(key);
@@ -33,9 +35,9 @@
     numbers.reserve(count);
     for (const json& item : array) {
         const double number = item.is_number() ? item.get<double>() : -1.0;
-        if (!std::isfinite(number) || number < 0.0) {
+        if (!(number >= 0.0 && number <= max_number)) {
             return failure{error_kind::bad_request,
-                           key + "[" + std::to_string(numbers.size()) + "] is not a number of at least 0"};
+                           key + "[" + std::to_string(numbers.size()) + "] is not a number from 0 to 1e15"};
         }
         numbers.push_back(number);
     }
@@ -120,10 +122,10 @@
     const auto rank_speed = object.find("rank_speed");
     if (rank_speed != object.end()) {
         const auto numbers = read_numbers(*rank_speed, "rank_speed", this->size.ranks);
-        const bool has_stopped_rank =
-            numbers && std::any_of(numbers->begin(), numbers->end(), [](double speed) { return speed <= 0.0; });
-        if (!numbers || has_stopped_rank) {
-            this->fail(numbers ? "rank_speed holds a speed of 0" : numbers.last_error().reason);
+        const bool has_bad_speed =
+            numbers && std::any_of(numbers->begin(), numbers->end(), [](double speed) { return speed < min_speed; });
+        if (!numbers || has_bad_speed) {
+            this->fail(numbers ? "rank_speed holds a speed below 1e-6" : numbers.last_error().reason);
             return false;
         }
         this->planned_speeds[*step] = *numbers;
--- a/src/replay/report.cpp
+++ b/src/replay/report.cpp
@@ -119,7 +119,7 @@
     for (const policy_result& result : results) {
         const policy_summary& row = result.summary;
         text +=
-            fmt::format("{:<14}{:>8}{:>10.3f}{:>10.3f}{:>10}{:>8}{:>16.1f}{:>16.1f}\n", row.policy, row.steps,
+            fmt::format("{:<14}{:>8}{:>10.3f}{:>10.3f}{:>10}{:>8}{:>16.6g}{:>16.6g}\n", row.policy, row.steps,
                         row.p50_skew, row.p95_skew, row.moves, row.stall_steps, row.mean_step_time, row.p95_step_time);
     }
     return text;
--- a/tests/balance/replay_test.cpp
+++ b/tests/balance/replay_test.cpp
@@ -98,8 +98,10 @@
     EXPECT_EQ(this->fault_of(header + R"({"step":5,"layer":1,"tokens":[1]})"),
               "2: tokens is not an array of 2 numbers");
     EXPECT_EQ(this->fault_of(header + R"({"step":5,"layer":1,"tokens":[1,-1]})"),
-              "2: tokens[1] is not a number of at least 0");
-    EXPECT_EQ(this->fault_of(header + R"({"step":5,"rank_speed":[1,0]})"), "2: rank_speed holds a speed of 0");
+              "2: tokens[1] is not a number from 0 to 1e15");
+    EXPECT_EQ(this->fault_of(header + R"({"step":5,"layer":1,"tokens":[1e300,1]})"),
+              "2: tokens[0] is not a number from 0 to 1e15");
+    EXPECT_EQ(this->fault_of(header + R"({"step":5,"rank_speed":[1,0]})"), "2: rank_speed holds a speed below 1e-6");
 }
 
 // Guards against a step's skew and time that do not follow the definition.
