--- a/src/balance/change_search.cpp
+++ b/src/balance/change_search.cpp
@@ -29,7 +29,7 @@
     });
     const std::uint32_t extremes = std::min(max_extreme_ranks, this->shape.ranks);
     for (std::uint32_t i = 0; i < std::min(extremes, enough_pairs); ++i) {
-        static_cast<void>(order[i]);
+        this->search_drops(order[i]);
     }
     std::uint32_t pairs = 0;
     for (std::uint32_t distance = 0; distance + 1 < 2 * extremes; ++distance) {
