--- a/src/balance/change_search.cpp
+++ b/src/balance/change_search.cpp
@@ -9,7 +9,7 @@
 
 // The search looks at pairs of a slow and a fast rank, the most different ones first. It ends after the first pairs
 // that hold a change, and gives up after a number of evaluations, which bounds the planning time of large groups.
-constexpr std::uint32_t max_extreme_ranks = 1;
+constexpr std::uint32_t max_extreme_ranks = 8;
 constexpr std::uint32_t enough_pairs = 10;
 constexpr std::uint64_t max_evaluations = 12000;
 // Dropping a replica copies nothing, but taking it back later costs a copy.
