--- a/src/balance/change_search.cpp
+++ b/src/balance/change_search.cpp
@@ -74,7 +74,7 @@
     const bool is_free = to.expert == no_expert || this->current.replicas(layer, to.expert) > 1;
     if (is_free) {
         const expert_move target{layer, to.rank, to.slot, from.expert};
-
+        this->consider(this->current.copy(target, nullptr));
         this->consider(this->current.copy(target, &from));
     }
     const bool can_swap = to.expert != no_expert && !this->current.holds(layer, from.rank, to.expert) &&
