Count a service time only when the request has ended

Cause: an offer's expected wait used the length of answers that still ran, which an agent cannot know. Ruled out: leaving the mean out of offers; then a straggler's queue looks as short as any other.

--- a/src/replay/request_run.cpp
+++ b/src/replay/request_run.cpp
@@ -91,16 +91,27 @@
     return waiting * this->mean_service / this->options.slots + this->prefill_time(request);
 }
 
+void endpoint_model::count_finished(double now_ms) {
+    // A service time is known only when the request has ended.
+    for (visit& each : this->visits) {
+        if (!each.is_counted && each.end <= now_ms) {
+            each.is_counted = true;
+            const double gain = this->mean_service > 0.0 ? service_gain : 1.0;
+            this->mean_service += gain * (each.service - this->mean_service);
+        }
+    }
+}
+
 double endpoint_model::run(const request_record& request, double now_ms) {
     const double prefill = this->prefill_time(request);
     const double service = prefill + request.output_tokens * this->options.token_ms / this->speed;
     const double begin = std::max(now_ms, this->free_at.top());
     this->free_at.pop();
     this->free_at.push(begin + service);
-    this->mean_service += (this->mean_service > 0.0 ? service_gain : 1.0) * (service - this->mean_service);
+    this->count_finished(now_ms);
     std::erase_if(this->visits,
                   [this, now_ms](const visit& each) { return each.end < now_ms - this->options.report_lag_ms; });
-    this->visits.push_back({now_ms, begin + service});
+    this->visits.push_back({now_ms, begin + service, service, false});
     if (!request.prefix.empty()) {
         this->cache->update(request.prefix, request.prompt_tokens);
     }
--- a/src/replay/request_run.h
+++ b/src/replay/request_run.h
@@ -50,9 +50,12 @@
     struct visit {
         double begin{0.0};
         double end{0.0};
+        double service{0.0};    ///< time in a slot
+        bool is_counted{false}; ///< is part of the mean service time
     };
 
     [[nodiscard]] double prefill_time(const request_record& request) const;
+    void count_finished(double now_ms);
 
     endpoint_model_options options;
     double speed;
