Do not say "not run" to a keyed request before its claim is known

Ruled out: leaving it to the message text; a caller that trusts the flag would book again under a new key. Conclusion: refusals of keyed requests carry the proof only after the claim was read. The fault schedules check the last answer for each key, too.

--- a/src/entry/claimed_forwarder.cpp
+++ b/src/entry/claimed_forwarder.cpp
@@ -17,9 +17,14 @@
     return sha256_hex(request.method + ":" + request.digest);
 }
 
-failure store_failure(const failure& reason) {
-    return {error_kind::store_unavailable,
-            "this attempt was not run, because the claim could not be made: " + reason.reason};
+// Without the claim row the entry does not know whether an earlier attempt under the key ran, so it must not tell the
+// caller "not run".
+request_failure unknown_claim(const failure& reason) {
+    return {{error_kind::store_unavailable,
+             "this attempt was not run, but an earlier one under the key may have run; the claim cannot be read: " +
+                 reason.reason},
+            std::nullopt,
+            {}};
 }
 
 } // namespace
@@ -76,7 +81,7 @@
     }
     const result<std::optional<claim_record>> found = this->claims.find(claimed.request);
     if (!found) {
-        this->send_failure(claimed, {store_failure(found.last_error()), claimed.log.proof(), {}});
+        this->send_failure(claimed, unknown_claim(found.last_error()));
         return claimed.outcome;
     }
     if (!*found) {
@@ -104,7 +109,7 @@
                                         : this->claims.insert(claimed.request, wanted);
     for (std::uint32_t round = 0; round < config::max_attempts; ++round) {
         if (!standing) {
-            this->send_failure(claimed, {store_failure(standing.last_error()), claimed.log.proof(), {}});
+            this->send_failure(claimed, unknown_claim(standing.last_error()));
             return std::nullopt;
         }
         if (standing->content.attempt == wanted.attempt) {
--- a/tests/faults/workload.cpp
+++ b/tests/faults/workload.cpp
@@ -149,6 +149,7 @@
     }
     // Without a key a resend cannot be recognised, so the caller sends once.
     const int sends = has_key ? max_sends : 1;
+    bool last_says_not_run = false;
     for (int send = 0; send < sends; ++send) {
         const std::string send_id = id + "-s" + std::to_string(send);
         const http_answer answer = this->send_once(random, request, send_id);
@@ -161,11 +162,16 @@
             (has_key ? this->answered_keys : this->answered_ids).push_back(has_key ? id : send_id);
             return;
         }
+        last_says_not_run = says_not_run(answer);
         if (error_kind_of(answer) == "outcome_unknown") {
             return;
         }
         std::this_thread::sleep_for(resend_pause);
     }
+    if (has_key && last_says_not_run) {
+        const std::lock_guard lock{this->mutex};
+        this->not_run_keys.push_back(id);
+    }
 }
 
 void workload::violate(const std::string& what) {
@@ -203,6 +209,11 @@
             report.violations.push_back("answered booking did not run: " + id);
         }
     }
+    for (const std::string& key : this->not_run_keys) {
+        if (counts["keys"][key] != 0) {
+            report.violations.push_back("booking reported as not run, but an earlier send ran: " + key);
+        }
+    }
     for (const std::string& id : this->not_run_ids) {
         if (counts["requests"][id] != 0 || counts["started"][id] != 0) {
             report.violations.push_back("reported as not run, but it ran: " + id);
--- a/tests/faults/workload.h
+++ b/tests/faults/workload.h
@@ -81,6 +81,7 @@
     std::vector<std::string> not_run_ids;   ///< sends that were reported as "not run"
     std::vector<std::string> answered_ids;  ///< sends of bookings without a key
     std::vector<std::string> answered_keys; ///< keys whose booking was answered
+    std::vector<std::string> not_run_keys;  ///< keys whose last send was reported as "not run"
 };
 
 } // namespace pomelohoist::faults
