Shorten the time that a stopping stream server may sleep

Cause: listener.stop() took 10.0 s in 5 of 15 runs of the agent's race test. A stack trace showed a thread in POCO's TCPServerDispatcher::run, which stop() had woken just before it began to wait; it sleeps for the server's idle time, 10 s by default. Ruled out: the agent's drain, which had ended after 2 us. With an idle time of 1 s the longest of 36 runs took 1.16 s.

--- a/src/inner/stream_server.cpp
+++ b/src/inner/stream_server.cpp
@@ -19,6 +19,7 @@
 constexpr int thread_stack_bytes = 256 * 1024;
 constexpr int thread_idle_seconds = 60;
 constexpr int listen_backlog = 512;
+constexpr long dispatcher_idle_seconds = 1;
 constexpr std::chrono::milliseconds first_frame_timeout{5000};
 
 class connection : public Poco::Net::TCPServerConnection {
@@ -69,6 +70,9 @@
     Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
     params->setMaxThreads(config::max_stream_connections);
     params->setMaxQueued(listen_backlog);
+    // A dispatcher thread that POCO's stop() wakes just before it waits sleeps for this time; the default of 10 s then
+    // delays the end of the process.
+    params->setThreadIdleTime(Poco::Timespan{dispatcher_idle_seconds, 0});
     this->server = std::make_unique<Poco::Net::TCPServer>(new connection_factory{std::move(process_name), handler},
                                                           *this->pool, listener.socket, params);
     this->server->start();
