--- a/standins/http_host.h
+++ b/standins/http_host.h
@@ -90,6 +90,8 @@
     Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
     params->setMaxThreads(max_threads);
     params->setMaxQueued(backlog);
+    // A dispatcher thread that stop() wakes just before it waits sleeps for this time; the default is 10 s.
+    params->setThreadIdleTime(Poco::Timespan{1, 0});
     Poco::Net::HTTPServer server{new function_factory{function}, pool, socket, params};
     server.start();
     std::cout << "ready http=" << socket.address().toString() << std::endl;
