Compare routing policies by replay of a request trace

Cause: routing by fresh offers with prefix affinity is to be below every baseline in p95 time to first token at 80% and 95% load. Before: request traces ended with exit status 2.

--- a/programs/pomelohoist_replay.cpp
+++ b/programs/pomelohoist_replay.cpp
@@ -3,6 +3,8 @@
 #include "replay/expectations.h"
 #include "replay/expert_trace.h"
 #include "replay/report.h"
+#include "replay/request_trace.h"
+#include "replay/routing_comparison.h"
 #include "replay/trace_generator.h"
 
 #include <cxxopts.hpp>
@@ -21,6 +23,8 @@
 constexpr int exit_unmet = 1;
 constexpr int exit_usage = 2;
 
+const std::vector<double> compared_loads{0.5, 0.8, 0.95};
+
 int fail(const std::string& reason) {
     std::cerr << "pomelohoist-replay: " << reason << '\n';
     return exit_usage;
@@ -32,20 +36,23 @@
                              "Exit status: 0 done, 1 an expectation is unmet, 2 bad arguments, settings or trace.\n"};
     options.add_options()("trace", "recorded trace (JSON Lines)", cxxopts::value<std::string>(),
                           "FILE")("settings", "settings file with [balance]", cxxopts::value<std::string>(), "FILE")(
-        "policy", "adaptive, never_move or greedy_replan; may be repeated; default all",
+        "policy",
+        "expert load: adaptive, never_move, greedy_replan; requests: affinity, random, round_robin, least_loaded, "
+        "two_choices; may be repeated; default all",
         cxxopts::value<std::vector<std::string>>(),
         "NAME")("expect", "stated outcomes, INI file with [expect]", cxxopts::value<std::string>(),
                 "FILE")("report", "folder for CSV files and an SVG plot", cxxopts::value<std::string>(),
                         "DIR")("help", "print this text");
     options.add_options("generate")(
-        "generate", "write a trace of this kind: slow_drift, holiday_surge, sudden_flip, rack_cooling, steady",
+        "generate",
+        "write a trace of this kind: slow_drift, holiday_surge, sudden_flip, rack_cooling, steady, requests",
         cxxopts::value<std::string>(),
         "KIND")("output", "file of the new trace", cxxopts::value<std::string>(),
-                "FILE")("seed", "seed of the new trace", cxxopts::value<std::uint64_t>()->default_value("1"),
-                        "N")("steps", "steps", cxxopts::value<std::uint32_t>()->default_value("600"),
-                             "N")("ranks", "ranks", cxxopts::value<std::uint32_t>()->default_value("16"), "N")(
-        "experts", "experts in each layer", cxxopts::value<std::uint32_t>()->default_value("64"),
-        "N")("layers", "layers", cxxopts::value<std::uint32_t>()->default_value("4"), "N")(
+                "FILE")("seed", "seed of the new trace", cxxopts::value<std::uint64_t>()->default_value("1"), "N")(
+        "steps", "steps, or number of requests", cxxopts::value<std::uint32_t>()->default_value("600"),
+        "N")("ranks", "ranks", cxxopts::value<std::uint32_t>()->default_value("16"),
+             "N")("experts", "experts in each layer", cxxopts::value<std::uint32_t>()->default_value("64"),
+                  "N")("layers", "layers", cxxopts::value<std::uint32_t>()->default_value("4"), "N")(
         "slots", "expert slots of a rank in each layer", cxxopts::value<std::uint32_t>()->default_value("5"),
         "N")("tokens", "mean tokens in a step and layer", cxxopts::value<double>()->default_value("4096"), "N");
     return options;
@@ -53,6 +60,14 @@
 
 int generate(const cxxopts::ParseResult& arguments) {
     const std::string kind_name = arguments["generate"].as<std::string>();
+    if (kind_name == "requests" && arguments.count("output") > 0) {
+        constexpr double requests_per_second = 30.0;
+        const result<done> written =
+            write_request_trace(generate_requests(arguments["seed"].as<std::uint64_t>(),
+                                                  arguments["steps"].as<std::uint32_t>(), requests_per_second),
+                                arguments["output"].as<std::string>());
+        return written ? exit_ok : fail(written.last_error().reason);
+    }
     const std::optional<trace_kind> kind = parse_trace_kind(kind_name);
     if (!kind) {
         return fail("--generate: no kind " + kind_name);
@@ -94,9 +109,41 @@
     return unmet.empty() ? exit_ok : exit_unmet;
 }
 
+/// @returns the names given by --policy, or all
+std::vector<std::string> named_policies(const cxxopts::ParseResult& arguments, const std::vector<std::string>& known) {
+    return arguments.count("policy") > 0 ? arguments["policy"].as<std::vector<std::string>>() : known;
+}
+
+int run_request_replay(const cxxopts::ParseResult& arguments) {
+    const std::vector<std::string> names = named_policies(arguments, routing_policy_names());
+    for (const std::string& name : names) {
+        if (std::find(routing_policy_names().begin(), routing_policy_names().end(), name) ==
+            routing_policy_names().end()) {
+            return fail("no routing policy " + name);
+        }
+    }
+    if (arguments.count("expect") > 0 || arguments.count("report") > 0) {
+        return fail("--expect and --report take a trace of expert load");
+    }
+    const result<std::vector<request_record>> requests = read_request_trace(arguments["trace"].as<std::string>());
+    if (!requests) {
+        return fail(requests.last_error().reason);
+    }
+    std::cout << render_request_table(
+                     compare_routing(*requests, names, compared_loads, {}, arguments["seed"].as<std::uint64_t>()))
+              << std::flush;
+    return exit_ok;
+}
+
 int run_replay(const cxxopts::ParseResult& arguments) {
-    if (arguments.count("trace") == 0 || arguments.count("settings") == 0) {
-        return fail("--trace FILE and --settings FILE are required");
+    if (arguments.count("trace") == 0) {
+        return fail("--trace FILE is required");
+    }
+    if (is_request_trace(arguments["trace"].as<std::string>())) {
+        return run_request_replay(arguments);
+    }
+    if (arguments.count("settings") == 0) {
+        return fail("--settings FILE is required");
     }
     if (arguments.count("policy") > 0) {
         for (const std::string& name : arguments["policy"].as<std::vector<std::string>>()) {
