Make the first messages that an operator meets clearer

Ruled out: a help text for each command; the one page has six lines of usage. Before: no test asked for these texts.

--- a/src/common/daemon.cpp
+++ b/src/common/daemon.cpp
@@ -28,14 +28,28 @@
     int exit_status{exit_ok};
 };
 
-parsed_arguments parse_arguments(int argc, char** argv, const std::string& program_name) {
+std::string settings_help(const settings_schema& schema) {
+    std::string text = "\nSettings (section.key):\n";
+    for (const setting_spec& spec : schema) {
+        text += "  " + spec.key + (spec.required ? " (required)" : "") + ": " + spec.description;
+        for (const std::string& choice : spec.allowed) {
+            text += (&choice == &spec.allowed.front() ? "; " : ", ") + choice;
+        }
+        text += (spec.default_value.empty() ? "" : " (default " + spec.default_value + ")") + "\n";
+    }
+    return text;
+}
+
+parsed_arguments parse_arguments(int argc, char** argv, const std::string& program_name,
+                                 const settings_schema& schema) {
     cxxopts::Options options{program_name};
     options.add_options()("config", "settings file (INI)", cxxopts::value<std::string>(), "FILE")(
         "check-config", "check the settings file and exit")("version", "print the version")("help", "print this text");
     try {
         const cxxopts::ParseResult parsed = options.parse(argc, argv);
         if (parsed.count("help") > 0) {
-            std::cout << options.help() << "\nExit status: 0 stopped gracefully, 1 start failed, 2 bad arguments or "
+            std::cout << options.help() << settings_help(schema)
+                      << "\nExit status: 0 stopped gracefully, 1 start failed, 2 bad arguments or "
                       << "settings\n";
             return {};
         }
@@ -128,13 +142,13 @@
 }
 
 int run_daemon(int argc, char** argv, const std::string& program_name, daemon_factory& factory) {
-    const parsed_arguments parsed = parse_arguments(argc, argv, program_name);
-    if (!parsed.arguments) {
-        return parsed.exit_status;
-    }
     settings_schema schema = common_schema();
     const settings_schema own = factory.schema();
     schema.insert(schema.end(), own.begin(), own.end());
+    const parsed_arguments parsed = parse_arguments(argc, argv, program_name, schema);
+    if (!parsed.arguments) {
+        return parsed.exit_status;
+    }
     const result<settings> checked = settings::load(parsed.arguments->config_file, schema);
     if (!checked) {
         std::cerr << checked.last_error().reason << '\n';
--- a/src/common/ini_file.cpp
+++ b/src/common/ini_file.cpp
@@ -157,7 +157,7 @@
     const bool is_folder = std::filesystem::is_directory(file, code);
     std::ifstream stream{file};
     if (is_folder || !stream) {
-        return {{}, {ini_error(file, "", "", "cannot be read; allowed is a readable INI file")}};
+        return {{}, {ini_error(file, "", "", "cannot be read; allowed is a readable INI file")}, true};
     }
     std::ostringstream text;
     text << stream.rdbuf();
--- a/src/common/ini_file.h
+++ b/src/common/ini_file.h
@@ -24,6 +24,7 @@
 struct ini_content {
     std::vector<ini_section> sections;
     std::vector<std::string> errors;
+    bool is_unreadable{false}; ///< the file could not be opened
 
     friend bool operator==(const ini_content&, const ini_content&) = default;
 };
--- a/src/common/settings.cpp
+++ b/src/common/settings.cpp
@@ -147,6 +147,10 @@
 
 result<settings> settings::load(const std::string& file, const settings_schema& schema) {
     ini_content content = read_ini_file(file);
+    if (content.is_unreadable) {
+        // The keys are not missing; a list of them would hide the one reason.
+        return failure{error_kind::invalid_settings, joined(content.errors)};
+    }
     settings loaded;
     for (const ini_section& section : content.sections) {
         for (const ini_entry& entry : section.entries) {
--- a/src/operator/operator_arguments.cpp
+++ b/src/operator/operator_arguments.cpp
@@ -37,8 +37,7 @@
   1  failed, or not confirmed by all processes in time
   2  bad arguments or bad declarations; nothing was changed
   3  conflict with a concurrent change; nothing was changed
-  4  the platform's store is unavailable
-)";
+  4  the platform's store is unavailable)";
 
 cxxopts::Options make_options() {
     cxxopts::Options options{"pomelohoist", "Changes and shows the declarations of a cluster."};
@@ -65,6 +64,9 @@
         text += '\n';
     }
     text += R"(
+KIND is workspace, application, endpoint or selector. Each apply and label is accepted as a whole, as one version, or
+changes nothing.
+
 Options:
   --platform IP:PORT   address of the platform (default: POMELOHOIST_PLATFORM)
   --output FORMAT      table (default) or json
@@ -79,7 +81,7 @@
 }
 
 parsed_command usage_error(const std::string& reason) {
-    return {std::nullopt, operator_status::usage, reason + "; see pomelohoist --help"};
+    return {std::nullopt, operator_status::usage, "pomelohoist: " + reason + "; see pomelohoist --help"};
 }
 
 parsed_command check_words(const std::vector<std::string>& words, operator_command command) {
@@ -105,8 +107,9 @@
     return {std::move(command), operator_status::ok, ""};
 }
 
-parsed_command check_options(const cxxopts::ParseResult& parsed, const std::string& default_platform) {
-    operator_command command;
+// Checked after the command, so that a wrong command is not hidden by a missing address.
+parsed_command check_options(const cxxopts::ParseResult& parsed, const std::string& default_platform,
+                             operator_command command) {
     const std::string platform = parsed.count("platform") > 0 ? parsed["platform"].as<std::string>() : default_platform;
     const std::optional<net_address> address = net_address::parse(platform);
     if (!address || address->port == 0) {
@@ -123,12 +126,18 @@
         return usage_error("--timeout is out of range; allowed are 1 to 3600 seconds");
     }
     command.timeout = std::chrono::seconds{timeout_s};
+    return {std::move(command), operator_status::ok, ""};
+}
+
+parsed_command check_arguments(const cxxopts::ParseResult& parsed, const std::string& default_platform) {
+    operator_command command;
     command.dry_run = parsed.count("dry-run") > 0;
     command.wait = parsed.count("wait") > 0;
     command.prune = parsed.count("prune") > 0;
     const bool has_words = parsed.count("words") > 0;
-    return check_words(has_words ? parsed["words"].as<std::vector<std::string>>() : std::vector<std::string>{},
-                       std::move(command));
+    parsed_command checked = check_words(
+        has_words ? parsed["words"].as<std::vector<std::string>>() : std::vector<std::string>{}, std::move(command));
+    return checked.command ? check_options(parsed, default_platform, std::move(*checked.command)) : checked;
 }
 
 } // namespace
@@ -149,7 +158,7 @@
         if (parsed.count("version") > 0) {
             return {std::nullopt, operator_status::ok, std::string{"pomelohoist "} + POMELOHOIST_VERSION};
         }
-        return check_options(parsed, default_platform);
+        return check_arguments(parsed, default_platform);
     } catch (const cxxopts::exceptions::exception& error) {
         return usage_error(error.what());
     }
--- a/src/operator/operator_commands.cpp
+++ b/src/operator/operator_commands.cpp
@@ -39,6 +39,10 @@
     return value ? nlohmann::json(*value) : nlohmann::json();
 }
 
+std::string count_of_changes(std::size_t number) {
+    return std::to_string(number) + (number == 1 ? " change" : " changes");
+}
+
 std::string action_of(const patch& one) {
     if (!one.value) {
         return one.key.empty() ? "delete" : "remove";
@@ -168,8 +172,8 @@
         return failed(expected.last_error());
     }
     if (command.dry_run) {
-        report.summary =
-            std::to_string(number) + " changes to version " + std::to_string(now.version()) + ", none made";
+        report.summary = (number == 0 ? "no changes" : count_of_changes(number)) + " to version " +
+                         std::to_string(now.version()) + (number == 0 ? "" : "; nothing was changed");
         return report;
     }
     if (number == 0) {
@@ -184,7 +188,7 @@
         return failed(made.last_error());
     }
     report.version = made->version();
-    report.summary = std::to_string(number) + " changes accepted as version " + std::to_string(made->version());
+    report.summary = count_of_changes(number) + " accepted as version " + std::to_string(made->version());
     if (command.wait) {
         this->confirm(report, *made, command, false);
     }
--- a/tests/common/daemon_test.cpp
+++ b/tests/common/daemon_test.cpp
@@ -2,6 +2,7 @@
 
 #include "temporary_file.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <csignal>
@@ -78,7 +79,9 @@
     EXPECT_EQ(run(factory, {"--unknown"}), 2);
     EXPECT_EQ(run(factory, {}), 2);
     EXPECT_EQ(run(factory, {"--version"}), 0);
+    testing::internal::CaptureStdout();
     EXPECT_EQ(run(factory, {"--help"}), 0);
+    EXPECT_THAT(testing::internal::GetCapturedStdout(), testing::HasSubstr("process.name (required)"));
     EXPECT_FALSE(factory.observed.started);
 }
 
--- a/tests/common/settings_test.cpp
+++ b/tests/common/settings_test.cpp
@@ -56,9 +56,12 @@
 }
 
 TEST(settings_test, names_a_file_that_cannot_be_read) {
-    const result<settings> loaded = settings::load("/nonexistent/settings.ini", {});
+    const result<settings> loaded = settings::load(
+        "/nonexistent/settings.ini", {{"process.name", setting_type::text, true, "", "name of the process", {}}});
     ASSERT_FALSE(loaded);
     EXPECT_THAT(loaded.last_error().reason, HasSubstr("/nonexistent/settings.ini: cannot be read"));
+    // Guards against a list of missing keys that hides the reason.
+    EXPECT_THAT(loaded.last_error().reason, testing::Not(HasSubstr("is missing")));
 }
 
 // Guards against the parser's habit to drop sections without keys: an application may have no keys.
--- a/tests/operator/operator_commands_test.cpp
+++ b/tests/operator/operator_commands_test.cpp
@@ -100,7 +100,9 @@
 };
 
 TEST_F(operator_commands_test, apply_makes_the_declared_objects_once) {
-    EXPECT_EQ(this->run({"apply", this->file.path(), "--dry-run"}).status, operator_status::ok);
+    const command_report preview = this->run({"apply", this->file.path(), "--dry-run"});
+    EXPECT_EQ(preview.status, operator_status::ok);
+    EXPECT_THAT(preview.summary, HasSubstr("nothing was changed"));
     EXPECT_EQ(this->store.now.version(), 0U);
     const command_report first = this->run({"apply", this->file.path()});
     EXPECT_EQ(first.status, operator_status::ok);
@@ -203,8 +205,11 @@
         const parsed_command parsed = parse_operator_arguments(arguments, "127.0.0.1:9");
         EXPECT_FALSE(parsed.command);
         EXPECT_EQ(parsed.status, operator_status::usage);
+        EXPECT_TRUE(parsed.text.starts_with("pomelohoist: ")) << parsed.text;
     }
     EXPECT_EQ(parse_operator_arguments({"get"}, "").status, operator_status::usage);
+    // Guards against a missing address that hides a misspelt command.
+    EXPECT_THAT(parse_operator_arguments({"drop"}, "").text, HasSubstr("unknown command"));
     EXPECT_THAT(parse_operator_arguments({"--help"}, "").text, HasSubstr("Exit status:"));
     EXPECT_EQ(parse_operator_arguments({"get", "--platform", "127.0.0.1:5"}, "").command->platform.port, 5);
 }
