Keep balance presets beside their deployment, declarations in a folder of their own

Ruled out: one folder for all presets; tools name examples/NAME/balance.ini. Conclusion: declarations stand in examples/NAME/declarations/.

--- a/tests/balance/outcome_test.cpp
+++ b/tests/balance/outcome_test.cpp
@@ -40,7 +40,7 @@
 }
 
 balance_options load_options(const std::string& deployment) {
-    const std::string file = std::string{POMELOHOIST_SOURCE_DIR} + "/examples/balance/" + deployment + ".ini";
+    const std::string file = std::string{POMELOHOIST_SOURCE_DIR} + "/examples/" + deployment + "/balance.ini";
     return *read_balance_options(*settings::load(file, balance_schema()));
 }
 
--- a/tests/balance/replay_test.cpp
+++ b/tests/balance/replay_test.cpp
@@ -117,7 +117,7 @@
 
 // Guards against exit statuses that a script cannot rely on, and against a report that is not written.
 TEST_F(replay_files, program_reports_and_checks_expectations) {
-    const std::string settings_file = std::string{POMELOHOIST_SOURCE_DIR} + "/examples/balance/kartonfeest.ini";
+    const std::string settings_file = std::string{POMELOHOIST_SOURCE_DIR} + "/examples/kartonfeest/balance.ini";
     const std::string trace = (this->folder / "trace.jsonl").string();
     const std::string report = (this->folder / "report").string();
     ASSERT_EQ(this->run("--generate sudden_flip --seed 4 --steps 100 --output " + trace), 0);
--- a/tests/declaration/examples_test.cpp
+++ b/tests/declaration/examples_test.cpp
@@ -13,9 +13,9 @@
 
 const std::string examples = std::string{POMELOHOIST_SOURCE_DIR} + "/examples/";
 
-configuration read_deployment(const std::string& folder) {
+configuration read_deployment(const std::string& deployment) {
     std::vector<std::string> files;
-    for (const auto& entry : std::filesystem::directory_iterator{examples + folder}) {
+    for (const auto& entry : std::filesystem::directory_iterator{examples + deployment + "/declarations"}) {
         files.push_back(entry.path().string());
     }
     const result<object_map> objects = read_declarations(files);
--- a/tools/demo.cpp
+++ b/tools/demo.cpp
@@ -72,7 +72,8 @@
 }
 
 void declare(deployment& all, check_table& table) {
-    for (const std::string& folder : {std::string{"memoria-austral/"}, std::string{"kartonfeest/"}}) {
+    for (const std::string& folder :
+         {std::string{"memoria-austral/declarations/"}, std::string{"kartonfeest/declarations/"}}) {
         const process_outcome outcome =
             all.operate({"apply", example(folder + "01-workspaces.ini"), example(folder + "02-applications.ini"),
                          example(folder + "05-selectors.ini")});
