Measure the slopes of the capacity page with make capacity

Cause: docs/CAPACITY.md must rest on slopes that are measured and can be measured again; path_benchmark measures one size only.

--- a/makefile
+++ b/makefile
@@ -5,7 +5,7 @@
 SEEDS ?= 10
 SEED_BASE ?= 1
 
-.PHONY: all packages build demo test faults models lint format format-check clean
+.PHONY: all packages build demo test faults models capacity lint format format-check clean
 
 all: build
 
@@ -31,6 +31,10 @@
 models: packages
 	bash scripts/check_models.sh
 
+# Measures the slopes that docs/CAPACITY.md is worked out from; takes a few minutes.
+capacity: build
+	$(build_dir)/bin/capacity
+
 lint: build
 	bash scripts/check_lint.sh
 
