Let callers without an application name use selectors for all applications

Cause: without X-Pomelohoist-Application the entry takes the application "default"; undeclared, it was refused with forbidden even under applications = *. Ruled out: requiring a declared default application, which every first user would miss. Before: forbidden. Conclusion: other undeclared names are still refused.

--- a/src/declaration/configuration.h
+++ b/src/declaration/configuration.h
@@ -154,6 +154,9 @@
 struct selector_view;
 struct workspace_view;
 
+/// Application of requests that name none.
+inline constexpr std::string_view default_application_name = "default";
+
 /// One version of all declarations. Immutable.
 class configuration {
   public:
--- a/src/declaration/configuration_build.cpp
+++ b/src/declaration/configuration_build.cpp
@@ -134,7 +134,13 @@
 }
 
 const object_fields* configuration::fields_of(object_kind kind, const std::string& name) const {
-    return this->all_objects->find({kind, name});
+    // Callers that name no application use the default one, which need not be declared; it then has no labels.
+    static const object_fields no_labels;
+    const object_fields* declared = this->all_objects->find({kind, name});
+    if (declared == nullptr && kind == object_kind::application && name == default_application_name) {
+        return &no_labels;
+    }
+    return declared;
 }
 
 std::vector<endpoint_handle> configuration::reachable(const std::string& workspace_name,
--- a/src/entry/request_parser.cpp
+++ b/src/entry/request_parser.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr std::string_view default_application = "default";
 constexpr std::string_view services_prefix = "/services/";
 constexpr std::size_t request_id_bytes = 16;
 constexpr std::size_t max_key_bytes = 256;
@@ -58,12 +57,12 @@
 }
 
 result<application> choose_application(const raw_request& raw, const configuration& declared) {
-    const std::string name = raw.header("X-Pomelohoist-Application").value_or(std::string{default_application});
+    const std::string name = raw.header("X-Pomelohoist-Application").value_or(std::string{default_application_name});
     const application* found = declared.find_application(name);
     if (found != nullptr) {
         return *found;
     }
-    if (name == default_application) {
+    if (name == default_application_name) {
         return application{name, priority::normal, true, 0};
     }
     return failure{error_kind::bad_request, "application " + name + " is not declared"};
--- a/tests/declaration/configuration_test.cpp
+++ b/tests/declaration/configuration_test.cpp
@@ -223,5 +223,21 @@
     EXPECT_LT(used_by_two, 30 * megabyte);
 }
 
+// Guards against "forbidden" for callers that name no application although a selector lets all applications through.
+TEST(configuration_test, undeclared_default_application_has_no_labels) {
+    object_map objects;
+    objects[{object_kind::workspace, "team"}].values = {{"key_sha256", std::string(64, 'a')}};
+    objects[{object_kind::endpoint, "writer"}].values = {
+        {"kind", "model"}, {"agent", "127.0.0.1:7000"}, {"serves", "writer"}};
+    objects[{object_kind::selector, "all"}].values = {{"workspaces", "*"}, {"applications", "*"}, {"endpoints", "*"}};
+    const result<configuration> all = configuration::build(1, objects);
+    ASSERT_TRUE(all) << all.last_error().reason;
+    EXPECT_TRUE(all->may_reach("team", "default", "writer"));
+    EXPECT_EQ(all->reachable("team", "default", endpoint_kind::model, "writer").size(), 1U);
+    EXPECT_FALSE(all->may_reach("team", "other", "writer"));
+    objects[{object_kind::selector, "all"}].values["applications"] = "class=draft";
+    EXPECT_FALSE(configuration::build(1, objects)->may_reach("team", "default", "writer"));
+}
+
 } // namespace
 } // namespace pomelohoist
