Keep the memory of entry and agent below the target after large changes

What decoding freed stayed in the pools of the C library, of which there are up to eight for each processor, and its mapping threshold grows with the first large block that is freed.

The new test of the object table sees 11 MB instead of less than 1 MB when a large change stays a change.

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -58,6 +58,7 @@
 inline constexpr double store_polls_per_second = 50.0;
 inline constexpr std::chrono::milliseconds min_store_poll_interval{500};
 inline constexpr std::size_t max_recent_deltas = 256;
+inline constexpr std::size_t max_recent_delta_bytes = 1U << 20U;
 inline constexpr std::uint64_t snapshot_interval_versions = 128;
 
 // Leases.
--- a/src/common/daemon.cpp
+++ b/src/common/daemon.cpp
@@ -1,5 +1,7 @@
 #include "common/daemon.h"
 
+#include "common/process_memory.h"
+
 #include <cxxopts.hpp>
 #include <spdlog/sinks/stdout_sinks.h>
 
@@ -144,6 +146,7 @@
         std::cout << parsed.arguments->config_file << ": settings are valid\n";
         return exit_ok;
     }
+    limit_memory_pools();
     // Blocked before the first thread starts, so that every thread inherits the mask and only sigwait receives them.
     const sigset_t signals = stop_signals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
--- a/src/declaration/configuration.h
+++ b/src/declaration/configuration.h
@@ -9,6 +9,7 @@
 #include <cereal/types/vector.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -171,6 +172,8 @@
     [[nodiscard]] std::uint64_t version() const;
     /// @attention the first call after a change copies all objects (some 20 ms for 16,400 objects)
     [[nodiscard]] const object_map& objects() const;
+    /// Calls the visitor for each object, ascending by kind and name, without a copy.
+    void for_each_object(const std::function<void(const object_key& key, const object_fields& fields)>& visitor) const;
 
     /// @param digest SHA-256 of a bearer key in hexadecimal
     /// @returns the workspace, or null
--- a/src/declaration/configuration_apply.cpp
+++ b/src/declaration/configuration_apply.cpp
@@ -93,6 +93,7 @@
     if (!errors.empty()) {
         return failure{error_kind::invalid_declaration, errors};
     }
+    next_objects->end_change();
     next.all_objects = std::move(next_objects);
     const result<done> rebuilt = next.rebuild(changed);
     if (!rebuilt) {
--- a/src/declaration/configuration_build.cpp
+++ b/src/declaration/configuration_build.cpp
@@ -76,6 +76,17 @@
     return this->all_objects->all();
 }
 
+void configuration::for_each_object(
+    const std::function<void(const object_key& key, const object_fields& fields)>& visitor) const {
+    for (std::uint8_t kind = 0; kind < static_cast<std::uint8_t>(object_kind::count); ++kind) {
+        object_key key{static_cast<object_kind>(kind), ""};
+        this->all_objects->for_each(key.kind, [&](const std::string& name, const object_fields& fields) {
+            key.name = name;
+            visitor(key, fields);
+        });
+    }
+}
+
 const workspace* configuration::find_workspace_by_key(const std::string& digest) const {
     const std::vector<workspace>& list = this->workspaces->by_name;
     const std::vector<std::uint32_t>& order = this->workspaces->by_key;
--- a/src/declaration/object_table.cpp
+++ b/src/declaration/object_table.cpp
@@ -94,6 +94,23 @@
     return next;
 }
 
+void object_table::end_change() {
+    if (this->changes.size() <= max_changes) {
+        return;
+    }
+    // Left as changes, thousands of objects would be copied by the next change and stay twice in memory.
+    object_map content = *this->base;
+    for (auto& [key, fields] : this->changes) {
+        if (fields) {
+            content[key] = std::move(*fields);
+        } else {
+            content.erase(key);
+        }
+    }
+    this->base = std::make_shared<const object_map>(std::move(content));
+    this->changes.clear();
+}
+
 object_fields& object_table::modify(const object_key& key) {
     const auto [slot, is_new] = this->changes.try_emplace(key);
     if (is_new) {
--- a/src/declaration/object_table.h
+++ b/src/declaration/object_table.h
@@ -31,6 +31,8 @@
     /// @returns the fields for change; an absent object is created without fields
     object_fields& modify(const object_key& key);
     void erase(const object_key& key);
+    /// Ends a change. A large one becomes part of the shared objects.
+    void end_change();
 
   private:
     using change_map = std::map<object_key, std::optional<object_fields>>;
--- a/src/spread/configuration_codec.cpp
+++ b/src/spread/configuration_codec.cpp
@@ -15,10 +15,24 @@
     template <class Archive> void serialize(Archive& archive) { archive(this->version, this->objects); }
 };
 
+/// The same bytes as `snapshot_content`, written without a copy of all objects.
+struct snapshot_writer {
+    const configuration& source;
+
+    template <class Archive> void save(Archive& archive) const {
+        cereal::size_type number = 0;
+        this->source.for_each_object(
+            [&number](const object_key& /*key*/, const object_fields& /*fields*/) { ++number; });
+        archive(this->source.version(), cereal::make_size_tag(number));
+        this->source.for_each_object(
+            [&archive](const object_key& key, const object_fields& fields) { archive(key, fields); });
+    }
+};
+
 } // namespace
 
 std::string encode_configuration(const configuration& content) {
-    return inner::encode(snapshot_content{content.version(), content.objects()});
+    return inner::encode(snapshot_writer{content});
 }
 
 result<configuration> decode_configuration(const std::string& bytes) {
--- a/src/spread/configuration_spreader.cpp
+++ b/src/spread/configuration_spreader.cpp
@@ -1,5 +1,6 @@
 #include "spread/configuration_spreader.h"
 
+#include "common/process_memory.h"
 #include "inner/codec.h"
 #include "inner/frame_channel.h"
 
@@ -20,6 +21,9 @@
 constexpr std::size_t max_wanted_pulls = 32;
 constexpr std::size_t start_batch = 64;
 constexpr double min_jitter = 0.5;
+// A change of this size leaves some hundred kilobytes of free memory between the objects that stay.
+constexpr std::size_t large_change_bytes = std::size_t{64} * 1024;
+constexpr std::size_t large_change_patches = 256;
 
 std::size_t byte_size(const inner::pull_reply& reply) {
     std::size_t bytes = reply.snapshot.size();
@@ -32,6 +36,14 @@
     return bytes;
 }
 
+bool is_large(const std::vector<configuration_delta>& deltas) {
+    std::size_t patches = 0;
+    for (const configuration_delta& delta : deltas) {
+        patches += delta.change.patches.size();
+    }
+    return patches > large_change_patches;
+}
+
 /// @returns a duration in [0.5, 1.5) of the given one, so that processes do not stay in step
 std::chrono::milliseconds with_jitter(std::chrono::milliseconds duration, random_source& random) {
     const double factor = min_jitter + random.next_fraction();
@@ -172,6 +184,9 @@
                                 {{"peer", source.to_string()}, {"reason", taken.last_error().reason}});
         return taken;
     }
+    if (byte_size(*reply) > large_change_bytes) {
+        this->has_large_change = true;
+    }
     this->note_taken(before, source.to_string());
     return taken;
 }
@@ -217,6 +232,14 @@
         if (!this->sleep_for(min_announce_interval)) {
             return;
         }
+        this->release_memory_if_due();
+    }
+}
+
+void configuration_spreader::release_memory_if_due() {
+    // By now the thread that took the version has freed what it built it from.
+    if (this->has_large_change.exchange(false)) {
+        release_free_memory();
     }
 }
 
@@ -295,6 +318,7 @@
     if (before > 0) {
         const result<std::vector<configuration_delta>> deltas = this->store.read_deltas(before);
         if (deltas && this->state.take_deltas(*deltas)) {
+            this->has_large_change = this->has_large_change || is_large(*deltas);
             this->note_taken(before, "store");
             return done{};
         }
@@ -306,6 +330,7 @@
         return newest.last_error();
     }
     this->state.take_configuration(std::move(*newest));
+    this->has_large_change = true;
     this->note_taken(before, "store");
     return done{};
 }
--- a/src/spread/configuration_spreader.h
+++ b/src/spread/configuration_spreader.h
@@ -112,6 +112,7 @@
     void request_pull(const net_address& source, const offered_versions& offered);
     bool is_newer(const offered_versions& offered) const;
     void note_taken(std::uint64_t version_before, const std::string& source);
+    void release_memory_if_due();
     std::chrono::milliseconds next_poll_interval();
     bool sleep_for(std::chrono::milliseconds duration);
 
@@ -129,6 +130,7 @@
     std::map<net_address, offered_versions, address_order> wanted_pulls;
     std::vector<std::thread> threads;
 
+    std::atomic<bool> has_large_change{false}; ///< a version was taken whose building left much free memory
     std::atomic<std::uint64_t> poll_count{0};
     std::atomic<std::uint64_t> pull_count{0};
     std::atomic<std::uint64_t> served_count{0};
--- a/src/spread/configuration_state.cpp
+++ b/src/spread/configuration_state.cpp
@@ -8,13 +8,6 @@
 
 namespace pomelohoist {
 
-namespace {
-
-// Keeps replies well below the size limit of a frame; more deltas than this cost more than a snapshot.
-constexpr std::size_t max_reply_delta_bytes = 1U << 20U;
-
-} // namespace
-
 configuration_state::configuration_state() : in_force(std::make_shared<const configuration>()) {}
 
 configuration_ptr configuration_state::current() const {
@@ -37,20 +30,36 @@
     const std::lock_guard lock{this->mutex};
     if (deltas.empty()) {
         this->recent.clear();
+        this->recent_bytes = 0;
     }
     for (encoded_delta& delta : deltas) {
+        this->recent_bytes += delta.bytes.size();
         this->recent.push_back(std::move(delta));
     }
-    while (this->recent.size() > config::max_recent_deltas) {
+    // Deltas of more bytes than the limit cost a peer more than a snapshot, and would fill a large part of the memory
+    // of a process. A reply thereby stays well below the size limit of a frame.
+    while (this->recent.size() > config::max_recent_deltas || this->recent_bytes > config::max_recent_delta_bytes) {
+        this->recent_bytes -= this->recent.front().bytes.size();
         this->recent.pop_front();
     }
     this->in_force.swap(next);
 }
 
+void configuration_state::forget_snapshot(std::uint64_t newest) {
+    std::string unused;
+    const std::lock_guard lock{this->snapshot_mutex};
+    if (this->snapshot_version < newest) {
+        this->snapshot_bytes.swap(unused);
+        this->snapshot_version = 0;
+    }
+}
+
 void configuration_state::take_configuration(configuration newest) {
     const std::lock_guard building{this->take_mutex};
-    if (newest.version() > this->current()->version()) {
+    const std::uint64_t version = newest.version();
+    if (version > this->current()->version()) {
         this->publish(std::move(newest), {});
+        this->forget_snapshot(version);
     }
 }
 
@@ -78,7 +87,9 @@
         taken.push_back({delta.version, encode_delta(delta)});
     }
     if (!taken.empty()) {
+        const std::uint64_t version = newest.version();
         this->publish(std::move(newest), std::move(taken));
+        this->forget_snapshot(version);
     }
     return done{};
 }
@@ -115,17 +126,15 @@
 
 std::vector<std::string> configuration_state::deltas_after(std::uint64_t version) const {
     std::vector<std::string> deltas;
-    std::size_t bytes = 0;
     if (this->recent.empty() || this->recent.front().version > version + 1) {
         return deltas;
     }
     for (const encoded_delta& delta : this->recent) {
         if (delta.version > version) {
             deltas.push_back(delta.bytes);
-            bytes += delta.bytes.size();
         }
     }
-    return bytes > max_reply_delta_bytes ? std::vector<std::string>{} : deltas;
+    return deltas;
 }
 
 std::string configuration_state::encoded_snapshot(const configuration& content) {
--- a/src/spread/configuration_state.h
+++ b/src/spread/configuration_state.h
@@ -49,11 +49,13 @@
     void publish(configuration newest, std::vector<encoded_delta> deltas);
     std::vector<std::string> deltas_after(std::uint64_t version) const;
     std::string encoded_snapshot(const configuration& content);
+    void forget_snapshot(std::uint64_t newest);
 
     std::mutex take_mutex; ///< held while a new version is built; readers are not kept waiting
     mutable std::mutex mutex;
     configuration_ptr in_force;
     std::deque<encoded_delta> recent; ///< ascending without gaps, up to the version in force
+    std::size_t recent_bytes{0};
     std::uint64_t hosts_version{0};
     std::set<std::string> leaving;
 
--- a/tests/declaration/configuration_test.cpp
+++ b/tests/declaration/configuration_test.cpp
@@ -46,6 +46,20 @@
     }
 }
 
+// Guards against a large change that stays beside the unchanged objects and is copied by each later change.
+TEST(configuration_test, change_after_a_large_one_copies_little) {
+    const configuration empty;
+    configuration_delta large{1, {"large", diff_objects({}, make_example_objects(15000, 1400), false)}};
+    const result<configuration> first = empty.apply(large);
+    ASSERT_TRUE(first) << first.last_error().reason;
+    const std::size_t before = mallinfo2().uordblks;
+    const result<configuration> second =
+        first->apply({2, {"small", {label_patch(object_kind::workspace, "workspace-7", "size", "small", "large")}}});
+    ASSERT_TRUE(second) << second.last_error().reason;
+    EXPECT_LT(mallinfo2().uordblks - before, megabyte);
+    EXPECT_EQ(second->objects().size(), first->objects().size());
+}
+
 TEST(configuration_test, finds_objects) {
     const configuration now = build(make_example_objects(20, 10));
     EXPECT_EQ(now.find_workspace_by_key(example_digest(7))->name, "workspace-7");
--- a/tests/spread/configuration_spreader_test.cpp
+++ b/tests/spread/configuration_spreader_test.cpp
@@ -217,6 +217,34 @@
     EXPECT_TRUE(this->processes[0]->source().wait_ready(patience));
 }
 
+/// @returns a change that adds workspaces, numbered from `first`
+configuration_delta make_workspaces_delta(std::uint64_t version, std::size_t first, std::size_t number) {
+    object_map added;
+    for (std::size_t i = first; i < first + number; ++i) {
+        added[{object_kind::workspace, "added-" + std::to_string(i)}].values = {{"key_sha256", example_digest(i)}};
+    }
+    return {version, {"add-" + std::to_string(version), diff_objects({}, added, false)}};
+}
+
+// Guards against deltas that fill the memory of a process, and against a gap in those that are kept.
+TEST(configuration_state_test, keeps_recent_deltas_up_to_a_number_of_bytes) {
+    configuration_state state;
+    ASSERT_TRUE(state.take_deltas({make_workspaces_delta(1, 0, 10), make_workspaces_delta(2, 10, 10)}));
+    EXPECT_EQ(state.answer({1, 0}).deltas.size(), 1U);
+    const configuration_delta large = make_workspaces_delta(3, 20, 15000);
+    ASSERT_GT(encode_delta(large).size(), config::max_recent_delta_bytes);
+    ASSERT_TRUE(state.take_deltas({large}));
+    ASSERT_TRUE(state.take_deltas({make_workspaces_delta(4, 15020, 10)}));
+    EXPECT_EQ(state.answer({3, 0}).deltas.size(), 1U);
+    for (const std::uint64_t version : {std::uint64_t{1}, std::uint64_t{2}}) {
+        const inner::pull_reply reply = state.answer({version, 0});
+        EXPECT_TRUE(reply.deltas.empty());
+        const result<configuration> snapshot = decode_configuration(reply.snapshot);
+        ASSERT_TRUE(snapshot);
+        EXPECT_EQ(*snapshot, *state.current());
+    }
+}
+
 // Guards against a process behind by more than the kept deltas that never catches up.
 TEST_F(spread_test, distant_version_is_pulled_as_a_snapshot) {
     this->start(2);
