Name runs in suspect reports, and add messages for suspects and waits

A suspect report named digests only, so a receiver could not tell that an agent and an entry had reported the same run. It now names the ticket of each run. New messages: suspect_query and suspect_state, by which a starting agent learns suspects from its peers, and run_progress, by which an agent tells an entry that a run waits or that its wait is over. New types stand at the end, so the numbers of the others do not change.

--- a/src/inner/messages.h
+++ b/src/inner/messages.h
@@ -41,6 +41,9 @@
     switch_decision,
     switch_query,
     switch_state,
+    suspect_query,
+    suspect_state,
+    run_progress,
     count
 };
 
@@ -258,6 +261,16 @@
     friend bool operator==(const run_refused&, const run_refused&) = default;
 };
 
+/// Sent for a run that has to wait, and again when its wait ends. A run that starts at once has none.
+struct run_progress {
+    static constexpr message_type type = message_type::run_progress;
+    ticket granted;
+    bool started{false}; ///< false: it waits for the endpoint
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->granted, this->started); }
+    friend bool operator==(const run_progress&, const run_progress&) = default;
+};
+
 /// Versions that the sender has; exchanged between peers.
 struct announce {
     static constexpr message_type type = message_type::announce;
@@ -311,13 +324,23 @@
     friend bool operator==(const pull_reply&, const pull_reply&) = default;
 };
 
+/// A run that was in flight when its endpoint died.
+struct suspected_run {
+    std::string digest; ///< as in `reserve_request`
+    ticket run;         ///< the agent and an entry may both report the run; it counts once
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->digest, this->run); }
+    friend bool operator==(const suspected_run&, const suspected_run&) = default;
+};
+
 /// Requests that were in flight when their endpoint died.
 struct suspect_report {
     static constexpr message_type type = message_type::suspect_report;
-    std::string event_id;             ///< identifies the death, so that a repeated report counts once
-    std::vector<std::string> digests; ///< as in `reserve_request`
+    std::string event_id;            ///< identifies the death; a digest counts it once
+    bool agent_lost{false};          ///< an entry concludes the death from the loss of the agent
+    std::vector<suspected_run> runs; ///< in flight at the death, or a part of them
 
-    template <class Archive> void serialize(Archive& archive) { archive(this->event_id, this->digests); }
+    template <class Archive> void serialize(Archive& archive) { archive(this->event_id, this->agent_lost, this->runs); }
     friend bool operator==(const suspect_report&, const suspect_report&) = default;
 };
 
@@ -329,6 +352,44 @@
     friend bool operator==(const suspect_ack&, const suspect_ack&) = default;
 };
 
+/// Asked by TCP by an agent that has started and knows no suspects.
+struct suspect_query {
+    static constexpr message_type type = message_type::suspect_query;
+    std::uint8_t reserved{0};
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->reserved); }
+    friend bool operator==(const suspect_query&, const suspect_query&) = default;
+};
+
+/// A death that a suspect was in flight at.
+struct known_death {
+    std::string event_id;
+    ticket run;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->event_id, this->run); }
+    friend bool operator==(const known_death&, const known_death&) = default;
+};
+
+struct known_suspect {
+    std::string digest;
+    std::vector<known_death> deaths;
+    std::uint32_t expires_in_ms{0};
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->digest, this->deaths, this->expires_in_ms);
+    }
+    friend bool operator==(const known_suspect&, const known_suspect&) = default;
+};
+
+struct suspect_state {
+    static constexpr message_type type = message_type::suspect_state;
+    bool complete{false}; ///< false while the sender has not asked its own peers yet
+    std::vector<known_suspect> suspects;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->complete, this->suspects); }
+    friend bool operator==(const suspect_state&, const suspect_state&) = default;
+};
+
 struct status_request {
     static constexpr message_type type = message_type::status_request;
     std::uint8_t reserved{0};
