--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -1,7 +1,9 @@
 #include "agent/agent_daemon.h"
 
 #include "agent/agent_handler.h"
+#include "agent/operator_service.h"
 #include "agent/peer_suspect_publisher.h"
+#include "agent/suspect_learner.h"
 
 #include <pomelohoist/config.h>
 
@@ -10,6 +12,7 @@
 #include <algorithm>
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -18,6 +21,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds health_interval{200};
+constexpr std::chrono::milliseconds learn_interval{5};
 constexpr std::chrono::milliseconds drain_poll_interval{10};
 
 /// The settings of an agent.
@@ -26,6 +30,7 @@
     net_address inner;
     net_address endpoint;
     net_address platform;
+    std::optional<net_address> http; ///< for operators and scrapers
     std::vector<net_address> seeds;
     bool is_model{true};
     endpoint_rates rates;
@@ -38,6 +43,9 @@
     read.inner = checked.address("inner.address");
     read.endpoint = checked.address("endpoint.address");
     read.platform = checked.address("platform.address");
+    if (!checked.text("http.address").empty()) {
+        read.http = checked.address("http.address");
+    }
     read.seeds = checked.address_list("peers.seeds");
     read.is_model = checked.text("endpoint.kind") == "model";
     read.rates = {static_cast<std::uint32_t>(std::max<std::int64_t>(checked.integer("endpoint.slots"), 1)),
@@ -57,7 +65,8 @@
 /// Checks the endpoint's health in intervals.
 class health_poller {
   public:
-    explicit health_poller(crash_monitor& polled) : monitor(polled), thread([this] { this->loop(); }) {}
+    health_poller(crash_monitor& polled, suspect_learner& suspect_source, const suspect_list& known_suspects)
+        : monitor(polled), learner(suspect_source), suspects(known_suspects), thread([this] { this->loop(); }) {}
     ~health_poller() {
         {
             const std::lock_guard lock{this->mutex};
@@ -74,13 +83,27 @@
         std::unique_lock lock{this->mutex};
         while (!this->stopping) {
             lock.unlock();
-            this->monitor.check();
+            const bool checked = this->check();
             lock.lock();
-            this->stopped.wait_for(lock, health_interval, [this] { return this->stopping; });
+            this->stopped.wait_for(lock, checked ? health_interval : learn_interval, [this] { return this->stopping; });
+        }
+    }
+
+    // The endpoint becomes ready by its first check. Before that, the agent must know which requests it may not run.
+    bool check() {
+        if (!this->suspects.is_complete()) {
+            this->learner.learn();
         }
+        if (!this->suspects.is_complete()) {
+            return false;
+        }
+        this->monitor.check();
+        return true;
     }
 
     crash_monitor& monitor;
+    suspect_learner& learner;
+    const suspect_list& suspects;
     std::mutex mutex;
     std::condition_variable stopped;
     bool stopping{false};
@@ -97,17 +120,26 @@
           orders(make_order_gate()), tickets(context.time, make_incarnation(context.random)),
           load(context.time, chosen.rates), suspects(context.time),
           publisher(this->listener->calls(), *this->source, chosen.identity.endpoint_name),
+          learner(*this->source, chosen.identity.name, chosen.identity.endpoint_name, this->suspects),
           monitor(*this->driver, this->suspects, this->publisher,
                   chosen.identity.name + "-" + std::to_string(this->tickets.incarnation()), context.log),
           scheduler(context.time, chosen.rates.slots, this->tickets, this->load, this->suspects, this->monitor),
           answers(context.time), handler({context, this->tickets, this->scheduler, this->answers, *this->driver,
                                           this->monitor, this->watch, *this->orders, *this->source},
                                          chosen.identity, *this->source, this->suspects),
-          poller(this->monitor) {
+          operators(this->handler, context.metrics), poller(this->monitor, this->learner, this->suspects) {
+        if (chosen.http) {
+            this->front = std::make_unique<http_front>(*chosen.http, context.time);
+            this->front->start(this->operators);
+        }
         this->listener->start(this->handler, this->handler);
     }
 
-    [[nodiscard]] net_address address() const { return this->listener->local_address(); }
+    /// @returns the addresses for the line that tells that the process is ready
+    [[nodiscard]] std::string addresses() const {
+        const std::string inner = "inner=" + this->listener->local_address().to_string();
+        return this->front ? inner + " http=" + this->front->local_address().to_string() : inner;
+    }
 
     void stop(const clock& time) {
         this->handler.begin_drain();
@@ -121,6 +153,10 @@
             this->watch.abort_all();
         }
         this->listener->stop();
+        // Scrapers see the drain until the end.
+        if (this->front) {
+            this->front->stop();
+        }
     }
 
   private:
@@ -132,11 +168,14 @@
     load_model load;
     suspect_list suspects;
     peer_suspect_publisher publisher;
+    suspect_learner learner;
     crash_monitor monitor;
     run_scheduler scheduler;
     completed_answers answers;
     run_watch watch;
     agent_handler handler;
+    operator_service operators;
+    std::unique_ptr<http_front> front;
     health_poller poller;
 };
 
@@ -157,9 +196,9 @@
             }
             this->running =
                 std::make_unique<running_agent>(this->chosen, this->context, std::move(listener), std::move(*source));
-            return "inner=" + this->running->address().to_string();
+            return this->running->addresses();
         } catch (const Poco::Exception& error) {
-            return failure{error_kind::invalid_settings, "inner.address: " + error.displayText()};
+            return failure{error_kind::invalid_settings, "the address cannot be bound: " + error.displayText()};
         }
     }
 
@@ -182,6 +221,7 @@
 settings_schema agent_daemon_factory::schema() const {
     return {
         {"inner.address", setting_type::address, true, "", "address for entries and peers, UDP and TCP", {}},
+        {"http.address", setting_type::address, false, "", "address for /healthz, /readyz and /metrics; none: off", {}},
         {"endpoint.name", setting_type::text, true, "", "name of the declared endpoint beside this agent", {}},
         {"endpoint.kind", setting_type::choice, false, "model", "kind of the endpoint", {"model", "service"}},
         {"endpoint.address", setting_type::address, true, "", "HTTP address of the endpoint", {}},
--- a/src/agent/agent_handler.cpp
+++ b/src/agent/agent_handler.cpp
@@ -76,6 +76,8 @@
     case inner::message_type::pull_request:
         return answer<inner::pull_request>(first,
                                            [this](const auto& message) { return this->source.handle_pull(message); });
+    case inner::message_type::suspect_query:
+        return to_payload(this->suspects.state());
     default:
         return failure_payload({error_kind::bad_request, "an agent does not serve this message by TCP"});
     }
@@ -135,8 +137,8 @@
 }
 
 inner::reserve_reply agent_handler::make_offer(const inner::reserve_request& request) {
-    const priority importance = std::min(request.importance, priority::low);
-    const load_estimate expected = this->parts.scheduler.estimate(size_of(request), importance);
+    const load_estimate expected =
+        this->parts.scheduler.estimate(queue_item_of(this->parts, request, ticket{}), size_of(request));
     const std::optional<queue_refusal> late = refuse_if_late(expected.wait, time_left_of(request));
     if (late) {
         return this->refuse(request, late->reason, late->retry_after);
@@ -201,7 +203,7 @@
 }
 
 inner::suspect_ack agent_handler::record_suspects(const inner::suspect_report& report) {
-    this->suspects.record(report.event_id, report.digests);
+    this->suspects.record(report);
     this->parts.context.log.warn("suspects_reported", {{"event_id", report.event_id}});
     return {report.event_id};
 }
--- a/src/agent/agent_handler.h
+++ b/src/agent/agent_handler.h
@@ -36,6 +36,9 @@
     /// Refuses reservations from now on; granted tickets may still run.
     void begin_drain() { this->stopping = true; }
 
+    [[nodiscard]] inner::status_reply status();
+    [[nodiscard]] std::size_t suspect_count() { return this->suspects.size(); }
+
   private:
     inner::reserve_reply reserve(const inner::reserve_request& request);
     result<done> check_configuration(const inner::reserve_request& request);
@@ -46,7 +49,6 @@
     inner::cancel_reply cancel(const inner::cancel_request& request);
     inner::outcome_reply outcome(const inner::outcome_request& request);
     inner::suspect_ack record_suspects(const inner::suspect_report& report);
-    inner::status_reply status();
     inner::payload answer_stream(const inner::packet& first);
 
     run_parts parts;
--- a/src/agent/crash_monitor.cpp
+++ b/src/agent/crash_monitor.cpp
@@ -94,26 +94,26 @@
         const std::lock_guard lock{this->mutex};
         dead_generation = this->generation;
     }
-    const std::vector<std::string> digests = this->end_generation();
-    const inner::suspect_report report{this->prefix + "-" + std::to_string(dead_generation), digests};
-    this->log.warn("endpoint_died", {{"event_id", report.event_id}, {"in_flight", std::to_string(digests.size())}});
-    if (digests.empty()) {
+    const inner::suspect_report report{this->prefix + "-" + std::to_string(dead_generation), false,
+                                       this->end_generation()};
+    this->log.warn("endpoint_died", {{"event_id", report.event_id}, {"in_flight", std::to_string(report.runs.size())}});
+    if (report.runs.empty()) {
         return;
     }
-    this->suspects.record(report.event_id, report.digests);
+    this->suspects.record(report);
     this->publisher.publish(report);
 }
 
-std::vector<std::string> crash_monitor::end_generation() {
+std::vector<inner::suspected_run> crash_monitor::end_generation() {
     const std::lock_guard lock{this->mutex};
-    std::vector<std::string> digests;
+    std::vector<inner::suspected_run> runs;
     for (const auto& [id, run] : this->flights) {
         if (run.generation == this->generation) {
-            digests.push_back(run.digest);
+            runs.push_back({run.digest, id});
         }
     }
     ++this->generation;
-    return digests;
+    return runs;
 }
 
 } // namespace pomelohoist
--- a/src/agent/crash_monitor.h
+++ b/src/agent/crash_monitor.h
@@ -64,7 +64,7 @@
 
     bool is_dead_now(int looks);
     void handle_death(const std::string& next_boot_id);
-    std::vector<std::string> end_generation();
+    std::vector<inner::suspected_run> end_generation();
 
     endpoint_driver& driver;
     suspect_list& suspects;
--- a/src/agent/endpoint_driver.h
+++ b/src/agent/endpoint_driver.h
@@ -26,9 +26,9 @@
 };
 
 /// Receives the answer while it arrives.
-class answer_sink {
+class endpoint_sink {
   public:
-    virtual ~answer_sink() = default;
+    virtual ~endpoint_sink() = default;
     /// The endpoint is connected; from now on the request may have run.
     virtual void on_send() = 0;
     /// @returns false to abort the run
@@ -45,11 +45,11 @@
     count
 };
 
-struct run_report {
+struct endpoint_report {
     run_outcome outcome{run_outcome::refused};
     std::string reason;
 
-    friend bool operator==(const run_report&, const run_report&) = default;
+    friend bool operator==(const endpoint_report&, const endpoint_report&) = default;
 };
 
 struct endpoint_health {
@@ -63,7 +63,7 @@
   public:
     virtual ~endpoint_driver() = default;
     /// Sends the request once and passes the answer on. Never repeats it.
-    virtual run_report run(const endpoint_request& request, answer_sink& sink, abort_signal& signal) = 0;
+    virtual endpoint_report run(const endpoint_request& request, endpoint_sink& sink, abort_signal& signal) = 0;
     /// @returns the health, or `not_ready` when the endpoint does not answer that it is well
     virtual result<endpoint_health> check_health() = 0;
 };
--- a/src/agent/endpoint_driver_model.cpp
+++ b/src/agent/endpoint_driver_model.cpp
@@ -13,9 +13,9 @@
 constexpr std::size_t tail_bytes = 64;
 
 /// Remembers the end of an event stream while it passes.
-class stream_end_check : public answer_sink {
+class stream_end_check : public endpoint_sink {
   public:
-    explicit stream_end_check(answer_sink& receiver) : next(receiver) {}
+    explicit stream_end_check(endpoint_sink& receiver) : next(receiver) {}
 
     void on_send() override { this->next.on_send(); }
 
@@ -41,7 +41,7 @@
     }
 
   private:
-    answer_sink& next;
+    endpoint_sink& next;
     bool is_event_stream{false};
     std::string tail;
 };
@@ -50,9 +50,9 @@
   public:
     explicit model_driver(net_address endpoint_address) : target(std::move(endpoint_address)) {}
 
-    run_report run(const endpoint_request& request, answer_sink& sink, abort_signal& signal) override {
+    endpoint_report run(const endpoint_request& request, endpoint_sink& sink, abort_signal& signal) override {
         stream_end_check checked{sink};
-        run_report report = run_http(this->target, request, checked, signal);
+        endpoint_report report = run_http(this->target, request, checked, signal);
         if (report.outcome == run_outcome::completed && !checked.is_whole()) {
             return {run_outcome::broken, "the event stream ended without its end mark"};
         }
--- a/src/agent/endpoint_driver_service.cpp
+++ b/src/agent/endpoint_driver_service.cpp
@@ -9,7 +9,7 @@
   public:
     explicit service_driver(net_address endpoint_address) : target(std::move(endpoint_address)) {}
 
-    run_report run(const endpoint_request& request, answer_sink& sink, abort_signal& signal) override {
+    endpoint_report run(const endpoint_request& request, endpoint_sink& sink, abort_signal& signal) override {
         return run_http(this->target, request, sink, signal);
     }
 
--- a/src/agent/fair_queue.cpp
+++ b/src/agent/fair_queue.cpp
@@ -21,16 +21,8 @@
 }
 
 void fair_queue::push(const queue_item& item) {
-    // Start-time fair queueing: a workspace's tags advance by work / weight, so that its share of the endpoint's time
-    // is its weight, and an idle workspace cannot save up time.
     lane& own = this->lanes[item.importance];
-    tagged added{item, own.virtual_time, 0.0};
-    const auto last = own.last_finish.find(item.workspace);
-    if (last != own.last_finish.end()) {
-        added.start_tag = std::max(own.virtual_time, last->second);
-    }
-    const double cost = static_cast<double>(std::max<std::int64_t>(item.work.count(), 1));
-    added.finish_tag = added.start_tag + cost / std::max(item.weight, min_weight);
+    const tagged added = this->tag(item);
     if (own.last_finish.size() >= max_idle_workspaces) {
         std::erase_if(own.last_finish, [&own](const auto& entry) { return entry.second <= own.virtual_time; });
     }
@@ -71,16 +63,36 @@
     return std::erase_if(this->items, [&id](const tagged& waiting) { return waiting.item.id == id; }) > 0;
 }
 
-std::chrono::milliseconds fair_queue::work_before(priority importance) const {
-    std::chrono::milliseconds total{0};
+// The backlog of a workspace that floods does not delay the others, so it must not count for them: they would be
+// refused for a wait that they do not have.
+waiting_work fair_queue::work_before(const queue_item& item) const {
+    const tagged added = this->tag(item);
+    waiting_work total;
     for (const tagged& waiting : this->items) {
-        if (waiting.item.importance <= importance) {
-            total += waiting.item.work;
+        if (comes_before(added, waiting)) {
+            break;
         }
+        total.work += waiting.item.work;
+        ++total.requests;
     }
     return total;
 }
 
+// Start-time fair queueing: a workspace's tags advance by work / weight, so that its share of the endpoint's time is
+// its weight, and an idle workspace cannot save up time.
+fair_queue::tagged fair_queue::tag(const queue_item& item) const {
+    tagged added{item, 0.0, 0.0};
+    const auto own = this->lanes.find(item.importance);
+    if (own != this->lanes.end()) {
+        const auto last = own->second.last_finish.find(item.workspace);
+        const bool is_known = last != own->second.last_finish.end();
+        added.start_tag = std::max(own->second.virtual_time, is_known ? last->second : 0.0);
+    }
+    const double cost = static_cast<double>(std::max<std::int64_t>(item.work.count(), 1));
+    added.finish_tag = added.start_tag + cost / std::max(item.weight, min_weight);
+    return added;
+}
+
 bool fair_queue::comes_before(const tagged& left, const tagged& right) {
     if (left.item.importance != right.item.importance) {
         return left.item.importance < right.item.importance;
--- a/src/agent/fair_queue.h
+++ b/src/agent/fair_queue.h
@@ -29,6 +29,14 @@
     friend bool operator==(const queue_item&, const queue_item&) = default;
 };
 
+/// What comes before a request.
+struct waiting_work {
+    std::chrono::milliseconds work{0};
+    std::size_t requests{0};
+
+    friend bool operator==(const waiting_work&, const waiting_work&) = default;
+};
+
 /// Refusal of a request that could not start in time.
 struct queue_refusal {
     failure reason;
@@ -61,8 +69,8 @@
     bool remove(const ticket& id);
 
     [[nodiscard]] std::size_t size() const { return this->items.size(); }
-    /// @returns work of the items that come before a new one of this priority
-    [[nodiscard]] std::chrono::milliseconds work_before(priority importance) const;
+    /// @returns work of the items that would be served before this one if it were pushed now
+    [[nodiscard]] waiting_work work_before(const queue_item& item) const;
 
   private:
     struct tagged {
@@ -76,6 +84,7 @@
         std::map<std::string, double> last_finish;
     };
 
+    [[nodiscard]] tagged tag(const queue_item& item) const;
     static bool comes_before(const tagged& left, const tagged& right);
 
     const clock& time;
--- a/src/agent/http_call.cpp
+++ b/src/agent/http_call.cpp
@@ -99,7 +99,7 @@
 }
 
 /// @returns the number of body bytes, or nothing when the sink ended the run
-std::optional<std::uint64_t> pass_body(std::istream& body, answer_sink& sink) {
+std::optional<std::uint64_t> pass_body(std::istream& body, endpoint_sink& sink) {
     std::array<char, read_buffer_bytes> buffer{};
     std::uint64_t total = 0;
     // peek() waits for the next bytes; in_avail() then takes what has come without waiting for a full buffer.
@@ -142,8 +142,8 @@
     return std::nullopt;
 }
 
-run_report exchange(HTTPClientSession& session, const net_address& target, const endpoint_request& request,
-                    answer_sink& sink) {
+endpoint_report exchange(HTTPClientSession& session, const net_address& target, const endpoint_request& request,
+                         endpoint_sink& sink) {
     send_request(session, target, request);
     HTTPResponse response;
     std::istream& body = session.receiveResponse(response);
@@ -156,13 +156,13 @@
     }
     const HTTPRequest sent{request.method, request.path};
     const std::optional<std::string> truncation = find_truncation(session, sent, response, *received);
-    return truncation ? run_report{run_outcome::broken, *truncation} : run_report{run_outcome::completed, ""};
+    return truncation ? endpoint_report{run_outcome::broken, *truncation} : endpoint_report{run_outcome::completed, ""};
 }
 
 } // namespace
 
-run_report run_http(const net_address& target, const endpoint_request& request, answer_sink& sink,
-                    abort_signal& signal) {
+endpoint_report run_http(const net_address& target, const endpoint_request& request, endpoint_sink& sink,
+                         abort_signal& signal) {
     const result<StreamSocket> connected = connect(target, config::connect_timeout);
     if (!connected) {
         return {run_outcome::refused, connected.last_error().reason};
@@ -176,7 +176,7 @@
     session.setKeepAlive(true);
     session.setTimeout(to_poco(config::default_request_deadline));
     const attachment attached{signal, *connected};
-    run_report report;
+    endpoint_report report;
     try {
         report = exchange(session, target, request, sink);
     } catch (const Poco::Exception& error) {
--- a/src/agent/http_call.h
+++ b/src/agent/http_call.h
@@ -7,8 +7,8 @@
 
 /// Sends the request once.
 /// @returns `refused` only when no connection was made
-run_report run_http(const net_address& target, const endpoint_request& request, answer_sink& sink,
-                    abort_signal& signal);
+endpoint_report run_http(const net_address& target, const endpoint_request& request, endpoint_sink& sink,
+                         abort_signal& signal);
 
 /// Asks GET /health for status 200 and the JSON field `boot_id`.
 result<endpoint_health> check_http_health(const net_address& target);
--- /dev/null
+++ b/src/agent/operator_service.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "agent/agent_handler.h"
+#include "entry/http_front.h"
+
+#include <string>
+
+/// What an agent shows to operators and scrapers over HTTP: /healthz, /readyz and /metrics of the common front.
+namespace pomelohoist {
+
+class operator_service : public http_service {
+  public:
+    /// Registers gauges for the length of the queue, running requests, suspects and draining.
+    /// @attention both must outlive the service
+    operator_service(agent_handler& served_agent, metrics_registry& agent_metrics);
+
+    /// Refuses: an agent takes work from entries only.
+    void serve(const raw_request& raw, steady_time arrived, answer_sink& caller) override;
+    void refuse(const raw_request& raw, const failure& reason, answer_sink& caller) override;
+    /// @returns true when the agent would grant tickets
+    [[nodiscard]] bool is_ready() const override;
+    [[nodiscard]] std::string render_metrics() const override { return this->metrics.render(); }
+
+  private:
+    agent_handler& agent;
+    metrics_registry& metrics;
+};
+
+} // namespace pomelohoist
--- a/src/agent/peer_suspect_publisher.cpp
+++ b/src/agent/peer_suspect_publisher.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// A digest takes 64 digits and a length of 8 bytes; 12 of them leave a third of a datagram for the header.
-constexpr std::size_t digests_per_datagram = 12;
+// A run takes 88 bytes: a digest of 64 digits with its length, and a ticket. 11 of them leave a third of a datagram for
+// the header.
+constexpr std::size_t runs_per_datagram = 11;
 
 } // namespace
 
@@ -19,7 +20,7 @@
     : calls(sender), source(configurations), own_name(std::move(endpoint_name)) {}
 
 void peer_suspect_publisher::publish(const inner::suspect_report& report) {
-    const std::vector<net_address> targets = this->peers();
+    const std::vector<net_address> targets = agents_serving_same(*this->source.current(), this->own_name);
     std::vector<inner::datagram_call> reports;
     for (const inner::suspect_report& part : split_report(report)) {
         for (const net_address& target : targets) {
@@ -31,15 +32,14 @@
     }
 }
 
-std::vector<net_address> peer_suspect_publisher::peers() const {
-    const configuration_ptr current = this->source.current();
-    const endpoint_handle own = current->find_endpoint(this->own_name);
+std::vector<net_address> agents_serving_same(const configuration& declared, const std::string& own_name) {
+    const endpoint_handle own = declared.find_endpoint(own_name);
     std::vector<net_address> addresses;
-    for (const endpoint& other : current->endpoints()) {
+    for (const endpoint& other : declared.endpoints()) {
         // An endpoint that is no longer declared does not know what it served, so all agents hear of its suspects.
         const bool serves_same =
-            !own.is_valid() || (other.kind == current->at(own).kind && other.serves == current->at(own).serves);
-        if (serves_same && other.name != this->own_name) {
+            !own.is_valid() || (other.kind == declared.at(own).kind && other.serves == declared.at(own).serves);
+        if (serves_same && other.name != own_name) {
             addresses.push_back(other.agent);
         }
     }
@@ -48,11 +48,12 @@
 
 std::vector<inner::suspect_report> split_report(const inner::suspect_report& report) {
     std::vector<inner::suspect_report> parts;
-    for (std::size_t begin = 0; begin < report.digests.size(); begin += digests_per_datagram) {
-        const std::size_t end = std::min(begin + digests_per_datagram, report.digests.size());
-        parts.push_back({report.event_id + "." + std::to_string(parts.size()),
-                         {report.digests.begin() + static_cast<std::ptrdiff_t>(begin),
-                          report.digests.begin() + static_cast<std::ptrdiff_t>(end)}});
+    for (std::size_t begin = 0; begin < report.runs.size(); begin += runs_per_datagram) {
+        const std::size_t end = std::min(begin + runs_per_datagram, report.runs.size());
+        parts.push_back({report.event_id,
+                         report.agent_lost,
+                         {report.runs.begin() + static_cast<std::ptrdiff_t>(begin),
+                          report.runs.begin() + static_cast<std::ptrdiff_t>(end)}});
     }
     return parts;
 }
--- a/src/agent/peer_suspect_publisher.h
+++ b/src/agent/peer_suspect_publisher.h
@@ -19,14 +19,15 @@
     void publish(const inner::suspect_report& report) override;
 
   private:
-    [[nodiscard]] std::vector<net_address> peers() const;
-
     inner::datagram_endpoint& calls;
     const configuration_source& source;
     std::string own_name;
 };
 
-/// Splits a report so that each part fits into one datagram. Each digest is in one part only.
+/// @returns the agents of the other endpoints that serve the same model or service
+std::vector<net_address> agents_serving_same(const configuration& declared, const std::string& own_name);
+
+/// Splits a report so that each part fits into one datagram. Each run is in one part only.
 std::vector<inner::suspect_report> split_report(const inner::suspect_report& report);
 
 } // namespace pomelohoist
--- a/src/agent/run_scheduler.cpp
+++ b/src/agent/run_scheduler.cpp
@@ -19,26 +19,32 @@
     : time(time_source), slots(endpoint_slots), tickets(agent_tickets), load(endpoint_load), suspects(known_suspects),
       state(endpoint), queue(time_source) {}
 
-load_estimate run_scheduler::estimate(const request_size& size, priority importance) {
+load_estimate run_scheduler::estimate(const queue_item& item, const request_size& size) {
     // An entry reserves at several agents and uses one ticket of them.
     const std::size_t expected = this->tickets.unused_count() / config::reserve_candidates;
     const std::lock_guard lock{this->mutex};
-    return this->estimate_locked(size, importance, expected);
+    return this->estimate_locked(item, size, expected);
 }
 
 turn run_scheduler::wait_turn(const queue_item& item, const request_size& size,
-                              const std::function<bool()>& is_abandoned) {
+                              const std::function<bool()>& is_abandoned, const std::function<void()>& on_queued) {
     std::unique_lock lock{this->mutex};
     waiting_run& own = this->waits[item.id];
     own.size = size;
     this->sweep();
     const auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(item.latest_start - this->time.now());
-    if (refuse_if_late(this->estimate_locked(size, item.importance, 0).wait, time_left)) {
+    if (refuse_if_late(this->estimate_locked(item, size, 0).wait, time_left)) {
         this->drop(item.id, turn::late);
     } else {
         this->queue.push(item);
         this->dispatch();
     }
+    if (own.state == turn::waiting) {
+        // It may write to a socket, which must not hold up other runs.
+        lock.unlock();
+        on_queued();
+        lock.lock();
+    }
     while (own.state == turn::waiting) {
         own.decided.wait_for(lock, abandoned_check_interval);
         this->sweep();
@@ -77,11 +83,11 @@
     return this->running_digests.size();
 }
 
-load_estimate run_scheduler::estimate_locked(const request_size& size, priority importance,
+load_estimate run_scheduler::estimate_locked(const queue_item& item, const request_size& size,
                                              std::size_t unused_tickets) {
-    const std::chrono::milliseconds work_ahead =
-        this->queue.work_before(importance) + this->load.work(size) * static_cast<std::int64_t>(unused_tickets);
-    return this->load.estimate(size, work_ahead, this->queue.size() + unused_tickets);
+    const waiting_work ahead = this->queue.work_before(item);
+    const std::chrono::milliseconds unused = this->load.work(size) * static_cast<std::int64_t>(unused_tickets);
+    return this->load.estimate(size, ahead.work + unused, ahead.requests + unused_tickets);
 }
 
 void run_scheduler::dispatch() {
--- a/src/agent/run_scheduler.h
+++ b/src/agent/run_scheduler.h
@@ -36,13 +36,14 @@
     /// @returns expected time of a request at the endpoint
     [[nodiscard]] std::chrono::milliseconds work(const request_size& size) const { return this->load.work(size); }
 
-    /// @returns what a request of this size and priority can expect now, counting the share of unused tickets that will
-    /// probably be presented
-    [[nodiscard]] load_estimate estimate(const request_size& size, priority importance);
+    /// @returns what a request can expect now, counting the share of unused tickets that will probably be presented
+    [[nodiscard]] load_estimate estimate(const queue_item& item, const request_size& size);
 
     /// Waits for a slot for a presented ticket. The ticket is started when a slot is granted, and void otherwise.
     /// @param is_abandoned true when nobody waits for the answer any more
-    turn wait_turn(const queue_item& item, const request_size& size, const std::function<bool()>& is_abandoned);
+    /// @param on_queued called once when the ticket does not get a slot at once
+    turn wait_turn(const queue_item& item, const request_size& size, const std::function<bool()>& is_abandoned,
+                   const std::function<void()>& on_queued);
 
     /// Returns the slot of a granted ticket.
     void release(const ticket& id, bool completed);
@@ -60,7 +61,7 @@
         std::condition_variable decided; ///< one for each, so that a grant wakes one thread only
     };
 
-    load_estimate estimate_locked(const request_size& size, priority importance, std::size_t unused_tickets);
+    load_estimate estimate_locked(const queue_item& item, const request_size& size, std::size_t unused_tickets);
     void dispatch();
     turn decide(const queue_item& next, const request_size& size);
     bool may_run(const queue_item& candidate);
--- a/src/agent/run_session.cpp
+++ b/src/agent/run_session.cpp
@@ -16,7 +16,7 @@
 using fractional_ms = std::chrono::duration<double, std::milli>;
 
 /// Passes the answer to the entry as numbered chunks, and keeps it when asked to.
-class run_sink : public answer_sink {
+class run_sink : public endpoint_sink {
   public:
     run_sink(const run_parts& shared, const inner::run_request& served, inner::frame_channel& target)
         : parts(shared), request(served), channel(target),
@@ -95,20 +95,6 @@
     }
 }
 
-queue_item queue_item_of(const run_parts& parts, const inner::run_request& request) {
-    const inner::reserve_request& reservation = request.reservation;
-    queue_item item;
-    item.id = request.granted;
-    item.workspace = reservation.workspace;
-    item.digest = reservation.digest;
-    item.importance = std::min(reservation.importance, priority::low);
-    item.latest_start = parts.context.time.now() + time_left_of(reservation);
-    const configuration_ptr current = parts.declarations.current();
-    const workspace* declared = current ? current->find_workspace(reservation.workspace) : nullptr;
-    item.weight = declared != nullptr ? declared->weight : 1.0;
-    return item;
-}
-
 endpoint_request endpoint_request_of(const inner::run_request& request, const trace_context& context) {
     endpoint_request outgoing{request.method, request.path, {}, request.body};
     for (const inner::header_field& header : request.headers) {
@@ -125,12 +111,12 @@
 
 /// Runs a started ticket at the endpoint.
 /// @returns the report; `broken` only after the suspects of a death were published
-run_report run_started(const run_parts& parts, const inner::run_request& request, inner::frame_channel& channel,
-                       run_sink& sink, const trace_context& context) {
+endpoint_report run_started(const run_parts& parts, const inner::run_request& request, inner::frame_channel& channel,
+                            run_sink& sink, const trace_context& context) {
     const ticket& id = request.granted;
     abort_signal signal;
     parts.watch.add(id, channel, signal, request.reservation.idempotent);
-    run_report report = parts.driver.run(endpoint_request_of(request, context), sink, signal);
+    endpoint_report report = parts.driver.run(endpoint_request_of(request, context), sink, signal);
     parts.watch.remove(id);
     if (report.outcome == run_outcome::refused && !signal.is_aborted()) {
         parts.monitor.connection_refused();
@@ -143,8 +129,8 @@
     return report;
 }
 
-void report_end(const run_parts& parts, const inner::run_request& request, const run_report& report, scoped_span& span,
-                fractional_ms duration) {
+void report_end(const run_parts& parts, const inner::run_request& request, const endpoint_report& report,
+                scoped_span& span, fractional_ms duration) {
     const bool completed = report.outcome == run_outcome::completed;
     parts.context.metrics.get_histogram("agent_run_ms").record(duration.count());
     parts.context.metrics.get_counter("agent_runs_total", completed ? "outcome=\"completed\"" : "outcome=\"failed\"")
@@ -166,7 +152,7 @@
     const ticket& id = request.granted;
     const steady_time begin = parts.context.time.now();
     run_sink sink{parts, request, channel};
-    const run_report report = run_started(parts, request, channel, sink, span.context());
+    const endpoint_report report = run_started(parts, request, channel, sink, span.context());
     const bool completed = report.outcome == run_outcome::completed;
     // The answer is kept before the ticket counts as finished, so that a question for the outcome in between finds the
     // run still running and not an answer that is lost.
@@ -194,6 +180,20 @@
     return {reservation.prefix_hash, reservation.prompt_tokens, reservation.max_output_tokens};
 }
 
+queue_item queue_item_of(const run_parts& parts, const inner::reserve_request& reservation, const ticket& id) {
+    queue_item item;
+    item.id = id;
+    item.workspace = reservation.workspace;
+    item.digest = reservation.digest;
+    item.importance = std::min(reservation.importance, priority::low);
+    item.work = parts.scheduler.work(size_of(reservation));
+    item.latest_start = parts.context.time.now() + time_left_of(reservation);
+    const configuration_ptr current = parts.declarations.current();
+    const workspace* declared = current ? current->find_workspace(reservation.workspace) : nullptr;
+    item.weight = declared != nullptr ? declared->weight : 1.0;
+    return item;
+}
+
 std::chrono::milliseconds time_left_of(const inner::reserve_request& reservation) {
     return reservation.deadline_ms == 0 ? config::default_request_deadline
                                         : std::chrono::milliseconds{reservation.deadline_ms};
@@ -216,11 +216,16 @@
         refuse(parts, request, channel, {error_kind::stale_epoch, "a higher epoch was seen"});
         return;
     }
-    queue_item item = queue_item_of(parts, request);
+    const queue_item item = queue_item_of(parts, request.reservation, request.granted);
     const request_size size = size_of(request.reservation);
-    item.work = parts.scheduler.work(size);
     const steady_time begin = parts.context.time.now();
-    const turn decided = parts.scheduler.wait_turn(item, size, [&channel] { return channel.is_closed_by_peer(); });
+    bool was_queued = false;
+    const auto on_queued = [&was_queued, &request, &channel] {
+        was_queued = true;
+        static_cast<void>(channel.send(inner::run_progress{request.granted, false}));
+    };
+    const turn decided = parts.scheduler.wait_turn(
+        item, size, [&channel] { return channel.is_closed_by_peer(); }, on_queued);
     const fractional_ms wait = parts.context.time.now() - begin;
     parts.context.metrics.get_histogram("agent_queue_wait_ms").record(wait.count());
     span.set("queue_wait_ms", std::to_string(wait.count()));
@@ -229,6 +234,10 @@
         refuse(parts, request, channel, refusal_of(decided));
         return;
     }
+    if (was_queued) {
+        // Sent before the endpoint gets the request, so that the entry knows what ran when the whole host is lost.
+        static_cast<void>(channel.send(inner::run_progress{request.granted, true}));
+    }
     run_granted(parts, request, channel, span);
 }
 
--- a/src/agent/run_session.h
+++ b/src/agent/run_session.h
@@ -35,6 +35,9 @@
 /// @returns size of a reservation for the load model
 request_size size_of(const inner::reserve_request& reservation);
 
+/// @returns the place in the queue that a request asks for
+queue_item queue_item_of(const run_parts& parts, const inner::reserve_request& reservation, const ticket& id);
+
 /// @returns time that is left for the request, with the default for 0
 std::chrono::milliseconds time_left_of(const inner::reserve_request& reservation);
 
--- a/src/agent/suspect_list.cpp
+++ b/src/agent/suspect_list.cpp
@@ -1,44 +1,67 @@
 #include "agent/suspect_list.h"
 
 #include <algorithm>
+#include <set>
 
 namespace pomelohoist {
 
 namespace {
 
 // Each death names at most the requests in flight at one endpoint, so this holds the deaths of a bad hour.
-constexpr std::size_t max_events = 4096;
 constexpr std::size_t max_suspects = 16384;
+// More deaths than lead to the quarantine need not be remembered; a few more allow for runs of one digest side by side.
+constexpr std::size_t max_deaths = 16;
+
+std::vector<inner::known_death>::iterator find_run(std::vector<inner::known_death>& deaths, const ticket& run) {
+    return std::find_if(deaths.begin(), deaths.end(), [&run](const auto& known) { return known.run == run; });
+}
 
 } // namespace
 
-void suspect_list::record(const std::string& event_id, const std::vector<std::string>& digests) {
+void suspect_list::record(const inner::suspect_report& report) {
     const std::lock_guard lock{this->mutex};
     this->expire();
-    if (!this->event_ids.insert(event_id).second) {
-        return;
-    }
-    const steady_time expires = this->time.now() + config::suspect_lifetime;
-    this->events.push_back({event_id, expires});
-    if (this->events.size() > max_events) {
-        this->event_ids.erase(this->events.front().id);
-        this->events.pop_front();
+    for (const inner::suspected_run& reported : report.runs) {
+        suspect_record& held = this->record_of(reported.digest);
+        const auto known = find_run(held.deaths, reported.run);
+        if (known == held.deaths.end()) {
+            if (held.deaths.size() < max_deaths) {
+                held.deaths.push_back({report.event_id, reported.run});
+            }
+            held.expires = this->time.now() + config::suspect_lifetime;
+        } else if (!report.agent_lost) {
+            // The agent saw the death itself; an entry only concluded it from the loss of the agent.
+            known->event_id = report.event_id;
+        }
     }
-    // The same request may be in flight twice at one endpoint; that is still one death.
-    const std::set<std::string> different{digests.begin(), digests.end()};
-    for (const std::string& digest : different) {
-        const bool is_known = this->suspects.count(digest) > 0;
-        if (!is_known && this->suspects.size() >= max_suspects) {
-            const auto oldest =
-                std::min_element(this->suspects.begin(), this->suspects.end(), [](const auto& left, const auto& right) {
-                    return left.second.expires < right.second.expires;
-                });
-            this->suspects.erase(oldest);
+}
+
+void suspect_list::merge(const std::vector<inner::known_suspect>& learned) {
+    const std::lock_guard lock{this->mutex};
+    this->expire();
+    for (const inner::known_suspect& suspect : learned) {
+        suspect_record& held = this->record_of(suspect.digest);
+        for (const inner::known_death& death : suspect.deaths) {
+            if (held.deaths.size() < max_deaths && find_run(held.deaths, death.run) == held.deaths.end()) {
+                held.deaths.push_back(death);
+            }
         }
-        record_of_deaths& held = this->suspects[digest];
-        ++held.deaths;
-        held.expires = expires;
+        const std::chrono::milliseconds left{suspect.expires_in_ms};
+        const auto bounded = std::min<std::chrono::milliseconds>(left, config::suspect_lifetime);
+        held.expires = std::max(held.expires, this->time.now() + bounded);
+    }
+}
+
+inner::suspect_state suspect_list::state() {
+    const std::lock_guard lock{this->mutex};
+    this->expire();
+    inner::suspect_state known;
+    known.complete = this->complete;
+    for (const auto& [digest, held] : this->suspects) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(held.expires - this->time.now());
+        known.suspects.push_back({digest, held.deaths, static_cast<std::uint32_t>(left.count())});
     }
+    return known;
 }
 
 std::uint32_t suspect_list::deaths(const std::string& digest) {
@@ -47,7 +70,12 @@
     if (found == this->suspects.end() || found->second.expires <= this->time.now()) {
         return 0;
     }
-    return found->second.deaths;
+    // The same request may be in flight twice at one endpoint; that is still one death.
+    std::set<std::string> events;
+    for (const inner::known_death& death : found->second.deaths) {
+        events.insert(death.event_id);
+    }
+    return static_cast<std::uint32_t>(events.size());
 }
 
 bool suspect_list::is_quarantined(const std::string& digest) {
@@ -60,12 +88,19 @@
     return this->suspects.size();
 }
 
+suspect_list::suspect_record& suspect_list::record_of(const std::string& digest) {
+    if (!this->suspects.contains(digest) && this->suspects.size() >= max_suspects) {
+        const auto oldest =
+            std::min_element(this->suspects.begin(), this->suspects.end(), [](const auto& left, const auto& right) {
+                return left.second.expires < right.second.expires;
+            });
+        this->suspects.erase(oldest);
+    }
+    return this->suspects[digest];
+}
+
 void suspect_list::expire() {
     const steady_time now = this->time.now();
-    while (!this->events.empty() && this->events.front().expires <= now) {
-        this->event_ids.erase(this->events.front().id);
-        this->events.pop_front();
-    }
     std::erase_if(this->suspects, [now](const auto& entry) { return entry.second.expires <= now; });
 }
 
--- a/src/agent/suspect_list.h
+++ b/src/agent/suspect_list.h
@@ -1,14 +1,15 @@
 #pragma once
 
+#include "inner/messages.h"
+
 #include <pomelohoist/clock.h>
 #include <pomelohoist/config.h>
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <mutex>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -19,8 +20,13 @@
   public:
     explicit suspect_list(const clock& time_source) : time(time_source) {}
 
-    /// Counts one death for each digest. An event that was seen before changes nothing.
-    void record(const std::string& event_id, const std::vector<std::string>& digests);
+    /// Counts one death for each digest. A run that was reported before changes nothing.
+    void record(const inner::suspect_report& report);
+    /// Adds what a peer knows.
+    void merge(const std::vector<inner::known_suspect>& learned);
+
+    /// @returns all suspects, for a peer that has started
+    [[nodiscard]] inner::suspect_state state();
 
     /// @returns deaths within `config::suspect_lifetime` of the last one
     [[nodiscard]] std::uint32_t deaths(const std::string& digest);
@@ -29,24 +35,23 @@
     [[nodiscard]] bool is_quarantined(const std::string& digest);
     [[nodiscard]] std::size_t size();
 
-  private:
-    struct record_of_deaths {
-        std::uint32_t deaths{0};
-        steady_time expires{};
-    };
+    /// The suspects of the time before this process started are known as far as peers know them.
+    void mark_complete() { this->complete = true; }
+    [[nodiscard]] bool is_complete() const { return this->complete; }
 
-    struct seen_event {
-        std::string id;
+  private:
+    struct suspect_record {
+        std::vector<inner::known_death> deaths;
         steady_time expires{};
     };
 
+    suspect_record& record_of(const std::string& digest);
     void expire();
 
     const clock& time;
+    std::atomic<bool> complete{false};
     std::mutex mutex;
-    std::map<std::string, record_of_deaths> suspects;
-    std::set<std::string> event_ids;
-    std::deque<seen_event> events;
+    std::map<std::string, suspect_record> suspects;
 };
 
 } // namespace pomelohoist
--- a/src/entry/attempt_runner.cpp
+++ b/src/entry/attempt_runner.cpp
@@ -104,8 +104,9 @@
     if (state) {
         wanted.log.note_ticket_state(*state);
     }
-    // An agent that still knows the ticket is alive, and only its connection broke.
-    if (lost && (!state || *state == inner::ticket_state::unknown)) {
+    // An agent that still knows the ticket is alive, and only its connection broke. A request that still waited there
+    // did not kill anything; suspicion would delay it and, after a second loss, put it into quarantine.
+    if (lost && !report.only_queued && (!state || *state == inner::ticket_state::unknown)) {
         const std::size_t told = this->suspects.report(wanted.request, granted, *this->configurations.current());
         this->context.log.warn("agent_lost", {{"request_id", wanted.request.request_id},
                                               {"endpoint", wanted.reserved.target.name},
--- a/src/entry/reserver.cpp
+++ b/src/entry/reserver.cpp
@@ -51,8 +51,8 @@
 }
 
 // Which refusal decides when there is no offer; the first kind of the list that was given wins.
-constexpr std::array deciding_order{error_kind::overloaded, error_kind::draining, error_kind::endpoint_failed,
-                                    error_kind::timeout, error_kind::unreachable};
+constexpr std::array deciding_order{error_kind::overloaded, error_kind::draining,    error_kind::endpoint_failed,
+                                    error_kind::timeout,    error_kind::unreachable, error_kind::not_ready};
 
 reserve_refusal to_refusal(const failure& reason) {
     reserve_refusal refused;
@@ -72,6 +72,11 @@
         refused.spends_budget = false;
         refused.final_when_all_tried = true;
         break;
+    case error_kind::not_ready:
+        refused.retryable = true;
+        refused.spends_budget = false;
+        refused.final_when_all_tried = true;
+        break;
     case error_kind::endpoint_failed:
     case error_kind::timeout:
     case error_kind::unreachable:
@@ -212,7 +217,8 @@
         }
         if (kind == error_kind::draining) {
             this->marks.avoid(name, config::avoid_draining_time);
-        } else if (kind == error_kind::timeout || kind == error_kind::endpoint_failed) {
+        } else if (kind == error_kind::timeout || kind == error_kind::endpoint_failed ||
+                   kind == error_kind::not_ready) {
             this->marks.avoid(name, config::avoid_failed_time);
         }
     }
--- a/src/entry/run_connection.cpp
+++ b/src/entry/run_connection.cpp
@@ -41,8 +41,18 @@
     ticket granted;
     bool has_head{false};
     std::uint64_t chunks{0};
+    bool is_queued{false};
 };
 
+std::optional<run_report> take_progress(const inner::packet& received, answer_progress& progress) {
+    const auto told = inner::decode_body<inner::run_progress>(received);
+    if (!told || told->granted != progress.granted || progress.has_head) {
+        return malformed("unexpected progress");
+    }
+    progress.is_queued = !told->started;
+    return std::nullopt;
+}
+
 std::optional<run_report> take_head(const inner::packet& received, answer_progress& progress, run_consumer& consumer) {
     const auto head = inner::decode_body<inner::run_head>(received);
     if (!head || head->granted != progress.granted || progress.has_head) {
@@ -132,7 +142,9 @@
         }
         const result<inner::packet> received = this->channel->receive(until(deadline, this->time.now()));
         if (!received) {
-            return broken(received.last_error());
+            run_report lost = broken(received.last_error());
+            lost.only_queued = progress.is_queued;
+            return lost;
         }
         std::optional<run_report> ended;
         switch (received->type) {
@@ -142,6 +154,9 @@
         case inner::message_type::run_chunk:
             ended = take_chunk(*received, progress, consumer);
             break;
+        case inner::message_type::run_progress:
+            ended = take_progress(*received, progress);
+            break;
         case inner::message_type::run_refused:
             ended = take_refusal(*received, progress, log);
             break;
--- a/src/entry/run_connection.h
+++ b/src/entry/run_connection.h
@@ -39,6 +39,7 @@
 struct run_report {
     run_ending ending{run_ending::not_connected};
     failure reason;
+    bool only_queued{false}; ///< the agent told that the run waits, and not that it started; no proof of "not run"
 
     friend bool operator==(const run_report&, const run_report&) = default;
 };
--- a/src/entry/suspect_reporter.cpp
+++ b/src/entry/suspect_reporter.cpp
@@ -10,8 +10,9 @@
 namespace pomelohoist {
 
 std::size_t suspect_reporter::report(const entry_request& request, const ticket& lost, const configuration& declared) {
-    const inner::payload content =
-        inner::to_payload(inner::suspect_report{"run:" + lost.to_string(), {request.digest}});
+    // An incarnation of an agent is lost once, however many of its runs are reported.
+    const std::string event_id = "agent:" + std::to_string(lost.incarnation);
+    const inner::payload content = inner::to_payload(inner::suspect_report{event_id, true, {{request.digest, lost}}});
     std::unordered_set<std::string> told;
     std::vector<inner::datagram_call> reports;
     reports.reserve(declared.endpoints().size());
--- a/tests/agent/agent_fakes.h
+++ b/tests/agent/agent_fakes.h
@@ -95,7 +95,7 @@
 /// An endpoint whose runs wait until the test lets them end.
 class fake_driver : public endpoint_driver {
   public:
-    run_report run(const endpoint_request& request, answer_sink& sink, abort_signal& signal) override {
+    endpoint_report run(const endpoint_request& request, endpoint_sink& sink, abort_signal& signal) override {
         sink.on_send();
         std::unique_lock lock{this->mutex};
         ++this->starts;
@@ -245,9 +245,13 @@
         return reply ? *reply : inner::outcome_reply{};
     }
 
-    /// @returns the next message of the type
+    /// @returns the next message, which must have the type; news about the wait are passed over unless asked for
     template <class Message> Message expect(inner::frame_channel& channel) {
-        const result<inner::packet> received = channel.receive(call_timeout);
+        result<inner::packet> received = channel.receive(call_timeout);
+        while (received && received->type == inner::message_type::run_progress &&
+               Message::type != inner::message_type::run_progress) {
+            received = channel.receive(call_timeout);
+        }
         EXPECT_TRUE(received) << received.last_error().reason;
         const result<Message> decoded = received ? inner::decode_body<Message>(*received) : received.last_error();
         EXPECT_TRUE(decoded) << decoded.last_error().reason;
--- a/tests/agent/agent_handler_test.cpp
+++ b/tests/agent/agent_handler_test.cpp
@@ -1,3 +1,4 @@
+#include "agent/suspect_learner.h"
 #include "agent_fakes.h"
 
 namespace pomelohoist {
@@ -185,15 +186,45 @@
     const auto second = this->make_request("r2");
     auto queued = this->run(this->granted(second), second);
     ASSERT_TRUE(eventually([&] { return this->scheduler.queued() == 1; }));
-    for (const std::string event : {"e1", "e1", "e2"}) {
-        EXPECT_TRUE(inner::call_datagram<inner::suspect_ack>(
-            this->client, this->listener.local_address(), inner::suspect_report{event, {second.digest}}, call_timeout));
+    for (const std::uint64_t death : {1U, 1U, 2U}) {
+        const inner::suspect_report report{"e" + std::to_string(death), false, {{second.digest, {death, 1}}}};
+        EXPECT_TRUE(inner::call_datagram<inner::suspect_ack>(this->client, this->listener.local_address(), report,
+                                                             call_timeout));
     }
     this->driver.released = true;
     EXPECT_EQ(this->expect<inner::run_refused>(queued).kind, error_kind::request_quarantined);
     EXPECT_EQ(this->driver.starts, 1);
 }
 
+// Guards against an entry that suspects a request which only waited when the agent was lost, or that does not suspect
+// one which had started.
+TEST_F(agent_test, entries_hear_of_the_wait_and_its_end) {
+    const auto first = this->make_request("r1");
+    auto running = this->run(this->granted(first), first);
+    ASSERT_TRUE(eventually([&] { return this->driver.starts == 1; }));
+    const auto second = this->make_request("r2");
+    auto queued = this->run(this->granted(second), second);
+    EXPECT_FALSE(this->expect<inner::run_progress>(queued).started);
+    EXPECT_EQ(this->driver.starts, 1);
+    this->driver.released = true;
+    EXPECT_TRUE(this->expect<inner::run_progress>(queued).started);
+    EXPECT_EQ(this->expect<inner::run_head>(queued).http_status, 200);
+    const result<inner::packet> begun = running.receive(call_timeout);
+    ASSERT_TRUE(begun);
+    EXPECT_EQ(begun->type, inner::message_type::run_head);
+}
+
+// Guards against an agent that restarts and runs what its peers know to be in quarantine.
+TEST_F(agent_test, a_starting_agent_learns_suspects) {
+    this->suspects.record({"e1", false, {{"d", {1, 1}}}});
+    this->suspects.record({"e2", false, {{"d", {2, 1}}}});
+    suspect_list restarted{this->time};
+    suspect_learner learner{this->source, "agent-2", "e2", restarted};
+    learner.learn();
+    EXPECT_TRUE(restarted.is_complete());
+    EXPECT_TRUE(restarted.is_quarantined("d"));
+}
+
 // Guards against orders of an old lease holder, and against a trace that ends at the agent.
 TEST_F(agent_test, old_epochs_are_refused_and_the_trace_goes_on) {
     this->driver.released = true;
--- a/tests/agent/http_call_test.cpp
+++ b/tests/agent/http_call_test.cpp
@@ -40,7 +40,7 @@
     std::thread thread;
 };
 
-class collecting_sink : public answer_sink {
+class collecting_sink : public endpoint_sink {
   public:
     void on_send() override { this->sent = true; }
     bool on_head(std::uint16_t answer_status, const std::vector<inner::header_field>& /*headers*/) override {
--- a/tests/agent/queue_and_suspects_test.cpp
+++ b/tests/agent/queue_and_suspects_test.cpp
@@ -69,12 +69,25 @@
     queue.push(make_item(1, "a", 1.0, priority::low));
     queue.push(make_item(2, "a", 1.0, priority::high));
     queue.push(make_item(3, "a", 1.0, priority::normal));
-    EXPECT_EQ(queue.work_before(priority::normal), 20ms);
+    EXPECT_EQ(queue.work_before(make_item(4, "b", 1.0, priority::normal)).work, 20ms);
     EXPECT_EQ(queue.pop(always)->id.number, 2U);
     EXPECT_EQ(queue.pop(always)->id.number, 3U);
     EXPECT_EQ(queue.pop(always)->id.number, 1U);
 }
 
+// Guards against refusals of workspaces with little work because another workspace floods the endpoint.
+TEST(fair_queue_test, backlog_of_one_workspace_does_not_count_for_others) {
+    const manual_clock time;
+    fair_queue queue{time};
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        queue.push(make_item(i, "flood", 1.0, priority::normal));
+    }
+    EXPECT_EQ(queue.work_before(make_item(200, "other", 1.0, priority::normal)), (waiting_work{10ms, 1}));
+    EXPECT_EQ(queue.work_before(make_item(201, "flood", 1.0, priority::normal)), (waiting_work{1000ms, 100}));
+    EXPECT_EQ(queue.work_before(make_item(202, "other", 1.0, priority::low)), (waiting_work{1000ms, 100}));
+    EXPECT_EQ(queue.work_before(make_item(203, "flood", 1.0, priority::high)), (waiting_work{0ms, 0}));
+}
+
 // Guards against requests that wait past their deadline, and against cancelled ones that still come up.
 TEST(fair_queue_test, expired_and_removed_items_leave) {
     manual_clock time;
@@ -114,14 +127,14 @@
 }
 
 // Guards against one death that counts twice when its report is repeated, and against suspects for ever.
-TEST(suspect_list_test, counts_each_event_once_and_expires) {
+TEST(suspect_list_test, counts_each_death_once_and_expires) {
     manual_clock time;
     suspect_list suspects{time};
-    suspects.record("e1", {"d", "d", "other"});
-    suspects.record("e1", {"d"});
+    suspects.record({"e1", false, {{"d", {1, 1}}, {"d", {1, 2}}, {"other", {1, 3}}}});
+    suspects.record({"e1", false, {{"d", {1, 1}}}});
     EXPECT_EQ(suspects.deaths("d"), 1U);
     EXPECT_FALSE(suspects.is_quarantined("d"));
-    suspects.record("e2", {"d"});
+    suspects.record({"e2", false, {{"d", {2, 1}}}});
     EXPECT_TRUE(suspects.is_quarantined("d"));
     EXPECT_TRUE(suspects.is_suspect("other"));
     time.advance(config::suspect_lifetime);
@@ -129,21 +142,64 @@
     EXPECT_EQ(suspects.size(), 0U);
 }
 
-// Guards against reports that do not fit into a datagram and are lost, and against digests counted twice.
+// Guards against harmless requests in quarantine because the agent of a dying host and an entry reported one death.
+TEST(suspect_list_test, reports_of_agent_and_entry_count_one_death) {
+    manual_clock time;
+    const inner::suspect_report by_agent{"host-1-1", false, {{"d", {1, 7}}, {"d", {1, 8}}}};
+    const inner::suspect_report by_entry{"agent:1", true, {{"d", {1, 7}}}};
+    const inner::suspect_report by_other_entry{"agent:1", true, {{"d", {1, 8}}}};
+    suspect_list agent_first{time};
+    agent_first.record(by_agent);
+    agent_first.record(by_entry);
+    agent_first.record(by_other_entry);
+    EXPECT_EQ(agent_first.deaths("d"), 1U);
+    suspect_list entry_first{time};
+    entry_first.record(by_entry);
+    entry_first.record(by_other_entry);
+    EXPECT_EQ(entry_first.deaths("d"), 1U);
+    entry_first.record(by_agent);
+    EXPECT_EQ(entry_first.deaths("d"), 1U);
+    entry_first.record({"agent:1", true, {{"d", {1, 20}}}});
+    EXPECT_EQ(entry_first.deaths("d"), 2U);
+}
+
+// Guards against a restarted agent that counts deaths twice when several peers tell it of them.
+TEST(suspect_list_test, merges_what_peers_know) {
+    manual_clock time;
+    suspect_list peer{time};
+    EXPECT_FALSE(peer.state().complete);
+    peer.mark_complete();
+    peer.record({"e1", false, {{"d", {1, 1}}}});
+    time.advance(1min);
+    suspect_list restarted{time};
+    restarted.merge(peer.state().suspects);
+    restarted.merge(peer.state().suspects);
+    EXPECT_TRUE(peer.state().complete);
+    EXPECT_EQ(restarted.deaths("d"), 1U);
+    restarted.record({"e2", false, {{"d", {2, 1}}}});
+    EXPECT_TRUE(restarted.is_quarantined("d"));
+    suspect_list late{time};
+    late.merge(peer.state().suspects);
+    time.advance(config::suspect_lifetime - 1min);
+    EXPECT_FALSE(late.is_suspect("d"));
+}
+
+// Guards against reports that do not fit into a datagram and are lost, and against runs that are left out.
 TEST(suspect_list_test, reports_are_split_to_fit) {
-    inner::suspect_report report{std::string(64, 'n') + "-18446744073709551615-1000", {}};
-    for (int i = 0; i < 100; ++i) {
-        report.digests.push_back(std::string(64, 'a'));
+    inner::suspect_report report{std::string(64, 'n') + "-18446744073709551615-1000", false, {}};
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        report.runs.push_back({std::string(64, 'a'), {1, i}});
     }
-    std::size_t digests = 0;
+    std::size_t runs = 0;
     for (const inner::suspect_report& part : split_report(report)) {
-        digests += part.digests.size();
+        runs += part.runs.size();
+        EXPECT_EQ(part.event_id, report.event_id);
         const inner::packet sent{
             config::protocol_version, inner::message_type::suspect_report, 1, false, std::string(64, 'n'),
             inner::encode(part)};
         EXPECT_LE(inner::encode(sent).size(), config::max_datagram_bytes);
     }
-    EXPECT_EQ(digests, 100U);
+    EXPECT_EQ(runs, 100U);
 }
 
 } // namespace
--- a/tests/agent/standin_test.cpp
+++ b/tests/agent/standin_test.cpp
@@ -1,6 +1,7 @@
 #include "../../standins/engine/token_rule.h"
 #include "agent/agent_daemon.h"
 #include "agent_fakes.h"
+#include "support/http_client.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -83,7 +84,7 @@
             (std::filesystem::path{testing::TempDir()} / ("agent-" + this->random.next_hex(8) + ".ini")).string();
         std::ofstream{file} << "[process]\nname = agent-1\nhost = h-e1\n[inner]\naddress = 127.0.0.1:0\n[endpoint]\n"
                             << "name = e1\nkind = " << kind << "\naddress = " << endpoint_address.to_string()
-                            << "\nslots = 4\n[platform]\naddress = 127.0.0.1:9\n";
+                            << "\nslots = 4\n[platform]\naddress = 127.0.0.1:9\n[http]\naddress = 127.0.0.1:0\n";
         agent_daemon_factory factory{[](const source_setup& setup) -> result<std::unique_ptr<configuration_source>> {
             return make_fake_source(setup);
         }};
@@ -96,7 +97,15 @@
         this->agent = factory.create(*checked, this->context);
         const result<std::string> ready = this->agent->start();
         ASSERT_TRUE(ready) << ready.last_error().reason;
-        this->address = *net_address::parse(ready->substr(ready->find('=') + 1));
+        const std::size_t between = ready->find(' ');
+        this->address = *net_address::parse(ready->substr(ready->find('=') + 1, between - ready->find('=') - 1));
+        this->http = *net_address::parse(ready->substr(ready->rfind('=') + 1));
+    }
+
+    test_support::http_answer get(const std::string& path) const {
+        test_support::http_request request;
+        request.path = path;
+        return test_support::send_http(this->http, request);
     }
 
     result<inner::reserve_reply> reserve(const inner::reserve_request& request) {
@@ -162,6 +171,7 @@
     inner::datagram_endpoint client{{"127.0.0.1", 0}, "entry", time};
     std::unique_ptr<daemon> agent;
     net_address address;
+    net_address http;
 };
 
 // Guards against wrong or short text on the way from an engine, whole and streamed.
@@ -223,5 +233,27 @@
     EXPECT_EQ(service.counts().at("finished"), (json{{"r1", 1}}));
 }
 
+// Guards against an agent that scrapers cannot watch, whose gauges stand still, or that takes work past the entries.
+TEST_F(standin_test, scrapers_see_the_agent) {
+    const standin_process service{"standin-service", {"--delay-ms", "300"}};
+    this->start_agent("service", service.address());
+    EXPECT_EQ(this->get("/healthz").status, 200);
+    EXPECT_TRUE(eventually([&] { return this->get("/readyz").status == 200; }));
+    const std::string idle = this->get("/metrics").body;
+    for (const std::string gauge : {"queue_length", "running_requests", "suspects", "draining"}) {
+        EXPECT_NE(idle.find("pomelohoist_agent_" + gauge + " 0"), std::string::npos) << idle;
+    }
+    EXPECT_EQ(this->get("/v1/completions").status, 404);
+    auto channel = this->start_run("r1", "/visits", "body");
+    ASSERT_TRUE(eventually([&] { return service.counts().contains("keys"); }));
+    EXPECT_NE(this->get("/metrics").body.find("pomelohoist_agent_running_requests 1"), std::string::npos);
+    std::thread stopping{[this] { this->agent->stop(); }};
+    EXPECT_TRUE(eventually(
+        [&] { return this->get("/metrics").body.find("pomelohoist_agent_draining 1") != std::string::npos; }));
+    EXPECT_EQ(this->get("/readyz").status, 503);
+    EXPECT_EQ(read_answer(channel).status, 200);
+    stopping.join();
+}
+
 } // namespace
 } // namespace pomelohoist
--- a/tests/entry/fake_agent.h
+++ b/tests/entry/fake_agent.h
@@ -34,6 +34,8 @@
     endpoint_failure,    ///< the end record names a failure
     complete_then_break, ///< keeps the whole answer, but the connection breaks before the end record
     late_end,            ///< everything but the end record, which comes after a second
+    crash_while_queued,  ///< tells that the run waits, breaks and forgets all tickets
+    crash_after_queue,   ///< the same, but tells before that the run has started
     silent,              ///< accepts the run and sends nothing for a second
     count
 };
@@ -119,6 +121,10 @@
             channel.send(inner::run_refused{run.granted, error_kind::ticket_refused, "refused"});
             return;
         }
+        if (script == run_script::crash_while_queued || script == run_script::crash_after_queue) {
+            this->crash_in_queue(run, script == run_script::crash_after_queue, channel);
+            return;
+        }
         this->answer(run, script, channel);
     }
 
@@ -203,6 +209,15 @@
         return pieces;
     }
 
+    void crash_in_queue(const inner::run_request& run, bool starts, inner::frame_channel& channel) {
+        channel.send(inner::run_progress{run.granted, false});
+        if (starts) {
+            channel.send(inner::run_progress{run.granted, true});
+        }
+        const std::lock_guard lock{this->mutex};
+        ++this->incarnation;
+    }
+
     void answer(const inner::run_request& run, run_script script, inner::frame_channel& channel) {
         const std::vector<std::string> pieces = pieces_of(run);
         const bool stream = pieces.front().starts_with("data:");
--- a/tests/entry/forwarder_test.cpp
+++ b/tests/entry/forwarder_test.cpp
@@ -178,6 +178,31 @@
     EXPECT_EQ(this->total_suspects(), 3);
 }
 
+// Guards against harmless requests in quarantine because they only waited at agents whose hosts died.
+TEST_F(forwarder_test, requests_that_waited_are_no_suspects) {
+    this->start_agents(3);
+    this->agents[0]->script({run_script::crash_while_queued});
+    EXPECT_EQ(this->call(model(false)).status, 200);
+    EXPECT_EQ(this->total_suspects(), 0);
+    std::this_thread::sleep_for(config::avoid_failed_time);
+    this->agents[0]->script({run_script::crash_after_queue});
+    EXPECT_EQ(this->call(model(false)).status, 200);
+    EXPECT_EQ(this->total_suspects(), 3);
+}
+
+// Guards against a refusal while endpoints that were not asked are ready: three of four agents are asked at first.
+TEST_F(forwarder_test, endpoints_that_are_not_ready_are_passed_over) {
+    this->start_agents(config::reserve_candidates + 1);
+    for (std::size_t i = 0; i < config::reserve_candidates; ++i) {
+        this->agents[i]->refuse_reserves(error_kind::not_ready);
+    }
+    for (int call = 0; call < 4; ++call) {
+        EXPECT_EQ(this->call(model(false)).status, 200);
+    }
+    this->agents.back()->refuse_reserves(error_kind::not_ready);
+    EXPECT_EQ(this->call(model(false)).kind(), "not_ready");
+}
+
 // Guards against an overload answer without Retry-After or without the truth about the run.
 TEST_F(forwarder_test, overloaded_everywhere_is_429) {
     this->start_agents(2);
