Use the fencing gate of src/lease for orders to an endpoint

src/agent had a second gate of the same kind. Two gates of one endpoint would not learn of each other's epochs, so an order that a map switch has fenced off could still pass the gate of runs.

Ruled out: keeping the interface order_gate, which had one implementation and no fake.

--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -94,14 +94,13 @@
                   std::unique_ptr<inner::peer_listener> bound, std::unique_ptr<configuration_source> configurations)
         : listener(std::move(bound)), source(std::move(configurations)),
           driver(chosen.is_model ? make_model_driver(chosen.endpoint) : make_service_driver(chosen.endpoint)),
-          orders(make_order_gate()), tickets(context.time, make_incarnation(context.random)),
-          load(context.time, chosen.rates), suspects(context.time),
-          publisher(this->listener->calls(), *this->source, chosen.identity.endpoint_name),
+          tickets(context.time, make_incarnation(context.random)), load(context.time, chosen.rates),
+          suspects(context.time), publisher(this->listener->calls(), *this->source, chosen.identity.endpoint_name),
           monitor(*this->driver, this->suspects, this->publisher,
                   chosen.identity.name + "-" + std::to_string(this->tickets.incarnation()), context.log),
           scheduler(context.time, chosen.rates.slots, this->tickets, this->load, this->suspects, this->monitor),
           answers(context.time), handler({context, this->tickets, this->scheduler, this->answers, *this->driver,
-                                          this->monitor, this->watch, *this->orders, *this->source},
+                                          this->monitor, this->watch, this->orders, *this->source},
                                          chosen.identity, *this->source, this->suspects),
           poller(this->monitor) {
         this->listener->start(this->handler, this->handler);
@@ -127,7 +126,7 @@
     std::unique_ptr<inner::peer_listener> listener;
     std::unique_ptr<configuration_source> source;
     std::unique_ptr<endpoint_driver> driver;
-    std::unique_ptr<order_gate> orders;
+    fencing_gate orders;
     ticket_table tickets;
     load_model load;
     suspect_list suspects;
--- a/src/agent/agent_wiring.h
+++ b/src/agent/agent_wiring.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "agent/order_gate.h"
 #include "common/daemon.h"
 #include "inner/peer_listener.h"
 #include "spread/configuration_source.h"
@@ -31,7 +30,4 @@
 /// @returns the source, running, that stops when it is destroyed
 result<std::unique_ptr<configuration_source>> make_configuration_source(const source_setup& setup);
 
-/// @returns a gate that has seen no epoch
-std::unique_ptr<order_gate> make_order_gate();
-
 } // namespace pomelohoist
--- a/src/agent/run_session.h
+++ b/src/agent/run_session.h
@@ -3,13 +3,13 @@
 #include "agent/completed_answers.h"
 #include "agent/crash_monitor.h"
 #include "agent/endpoint_driver.h"
-#include "agent/order_gate.h"
 #include "agent/run_scheduler.h"
 #include "agent/run_watch.h"
 #include "agent/ticket_table.h"
 #include "common/daemon.h"
 #include "inner/frame_channel.h"
 #include "inner/messages.h"
+#include "lease/lease.h"
 #include "spread/configuration_source.h"
 
 /// The conversation of one `run_request`: ticket, queue, endpoint, answer.
@@ -25,7 +25,7 @@
     endpoint_driver& driver;
     crash_monitor& monitor;
     run_watch& watch;
-    order_gate& orders;
+    fencing_gate& orders;
     const configuration_source& declarations;
 };
 
