Add the messages of the map switch

The datagrams name a map by version and digest, because a map of 256 ranks exceeds a datagram. Four types are added for TCP: the content of a map, and the measurements of one step.

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -64,6 +64,21 @@
 inline constexpr std::chrono::milliseconds lease_lifetime{3000};
 inline constexpr std::chrono::milliseconds lease_margin{500};
 
+// Map switch.
+inline constexpr std::chrono::milliseconds switch_prepare_timeout{600};
+inline constexpr std::chrono::milliseconds switch_call_timeout{300};
+inline constexpr std::chrono::milliseconds open_promise_limit{1500}; // longer than a prepare and its decision
+inline constexpr std::chrono::milliseconds recovery_backoff{150};
+inline constexpr std::chrono::milliseconds recovery_interval{10};
+inline constexpr std::chrono::milliseconds coordinator_interval{100};
+inline constexpr std::chrono::milliseconds lease_renewal_interval{1000};
+inline constexpr std::chrono::milliseconds map_call_timeout{1000};
+inline constexpr std::uint32_t coordinator_candidates = 8; // bounds the reads of the lease row by a large group
+inline constexpr std::uint64_t switch_lead_steps = 2;
+inline constexpr std::chrono::milliseconds switch_lead_time{50};
+inline constexpr std::size_t kept_step_reports = 8;
+inline constexpr std::size_t kept_maps = 8;
+
 // Store access.
 inline constexpr std::chrono::milliseconds store_timeout{1000};
 inline constexpr std::uint32_t breaker_failures = 5;
--- a/src/inner/messages.h
+++ b/src/inner/messages.h
@@ -41,6 +41,10 @@
     switch_decision,
     switch_query,
     switch_state,
+    map_request,
+    map_reply,
+    step_report_request,
+    step_report,
     count
 };
 
--- /dev/null
+++ b/src/inner/switch_messages.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "inner/messages.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Messages of the map switch between the agents of one group. Datagrams name a map by version and digest; its content
+/// may exceed a datagram and goes by TCP.
+namespace pomelohoist::inner {
+
+/// Order of the proposals of one group. Unique: no two incarnations propose with the same one.
+struct switch_ballot {
+    std::uint64_t epoch{0}; ///< of the lease; 0 before any was seen
+    std::uint64_t round{0};
+    std::uint32_t rank{0};        ///< proposer
+    std::uint64_t incarnation{0}; ///< of the proposer's process
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->epoch, this->round, this->rank, this->incarnation);
+    }
+    // clang-tidy takes the 0 that `<` of a defaulted comparison is rewritten to for a null pointer.
+    friend auto operator<=>(const switch_ballot&, const switch_ballot&) = default; // NOLINT(modernize-use-nullptr)
+};
+
+/// Identifies a map. An aborted switch may leave its version to another map, so the digest belongs to the identity.
+struct map_id {
+    std::uint64_t version{0};
+    std::uint64_t digest{0};
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->version, this->digest); }
+    friend bool operator==(const map_id&, const map_id&) = default;
+};
+
+/// A map and the first step that uses it.
+struct map_start {
+    map_id map;
+    std::uint64_t from_step{0};
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->map, this->from_step); }
+    friend bool operator==(const map_start&, const map_start&) = default;
+};
+
+/// Asks a rank to start no step from `next.from_step` on until it knows the outcome. An order of the lease holder.
+struct switch_prepare {
+    static constexpr message_type type = message_type::switch_prepare;
+    std::string group;
+    switch_ballot ballot; ///< identifies the switch; its epoch is that of the lease
+    map_id base;          ///< map that the switch replaces
+    map_start next;
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->group, this->ballot, this->base, this->next);
+    }
+    friend bool operator==(const switch_prepare&, const switch_prepare&) = default;
+};
+
+struct switch_vote {
+    static constexpr message_type type = message_type::switch_vote;
+    std::uint32_t rank{0};
+    switch_ballot ballot; ///< of the switch that the vote is for
+    bool promised{false};
+    bool ignored{false};        ///< the agent recovers; neither promise nor refusal
+    switch_ballot highest;      ///< that the agent has seen
+    std::uint64_t next_step{0}; ///< first step that the rank has not started
+    std::string reason;
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->rank, this->ballot, this->promised, this->ignored, this->highest, this->next_step, this->reason);
+    }
+    friend bool operator==(const switch_vote&, const switch_vote&) = default;
+};
+
+/// The outcome of a switch, as the map that is in force after it.
+struct switch_decision {
+    static constexpr message_type type = message_type::switch_decision;
+    std::string group;
+    switch_ballot ballot;
+    bool is_order{false}; ///< of the coordinator; otherwise of a recovery
+    map_start in_force;
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->group, this->ballot, this->is_order, this->in_force);
+    }
+    friend bool operator==(const switch_decision&, const switch_decision&) = default;
+};
+
+/// Asks what a rank knows, and raises its ballot.
+struct switch_query {
+    static constexpr message_type type = message_type::switch_query;
+    std::string group;
+    switch_ballot ballot;
+    bool is_read{false}; ///< asks for the ballot only and raises nothing
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->group, this->ballot, this->is_read); }
+    friend bool operator==(const switch_query&, const switch_query&) = default;
+};
+
+/// What a rank knows; also acknowledges a decision.
+struct switch_state {
+    static constexpr message_type type = message_type::switch_state;
+    std::uint32_t rank{0};
+    bool answers{false};            ///< the query was answered; otherwise only `highest` has a meaning
+    switch_ballot ballot;           ///< of the query that is answered
+    switch_ballot highest;          ///< that the agent has seen
+    std::optional<map_start> known; ///< latest committed map that the agent knows
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->rank, this->answers, this->ballot, this->highest, this->known);
+    }
+    friend bool operator==(const switch_state&, const switch_state&) = default;
+};
+
+/// Asks for the content of a map. TCP.
+struct map_request {
+    static constexpr message_type type = message_type::map_request;
+    std::string group;
+    map_id map;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->group, this->map); }
+    friend bool operator==(const map_request&, const map_request&) = default;
+};
+
+struct map_reply {
+    static constexpr message_type type = message_type::map_reply;
+    std::vector<std::uint32_t> slots; ///< in the order layer, rank, slot; empty when the map is not known
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->slots); }
+    friend bool operator==(const map_reply&, const map_reply&) = default;
+};
+
+/// Asks for the measurements of one step. TCP.
+struct step_report_request {
+    static constexpr message_type type = message_type::step_report_request;
+    std::string group;
+    std::uint64_t step{0};
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->group, this->step); }
+    friend bool operator==(const step_report_request&, const step_report_request&) = default;
+};
+
+/// What one rank measured in one step.
+struct step_report {
+    static constexpr message_type type = message_type::step_report;
+    std::uint64_t step{0};
+    map_start in_force;         ///< map of the step
+    double time_ms{0};          ///< 0 when the step is not known
+    std::vector<double> tokens; ///< of each expert, as this rank counted them, in the order layer, expert
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->step, this->in_force, this->time_ms, this->tokens);
+    }
+    friend bool operator==(const step_report&, const step_report&) = default;
+};
+
+} // namespace pomelohoist::inner
