--- /dev/null
+++ b/src/group/map_library.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "group/switch_participant.h"
+
+#include <pomelohoist/expert_balance.h>
+
+#include <deque>
+#include <memory>
+#include <mutex>
+
+/// The contents of the maps that an agent may need: those in force and those that a switch prepares.
+namespace pomelohoist {
+
+using map_ptr = std::shared_ptr<const expert_map>;
+
+/// @returns version and digest of shape and slots
+map_id identify(const expert_map& map);
+
+/// Keeps the last maps. Safe for several threads.
+class map_library : public map_contents {
+  public:
+    /// @returns the identity of the map
+    map_id add(const expert_map& map);
+    /// @returns the map, or null
+    [[nodiscard]] map_ptr find(const map_id& wanted) const;
+    [[nodiscard]] bool is_usable(const map_id& map) const override { return this->find(map) != nullptr; }
+
+  private:
+    struct kept_map {
+        map_id id;
+        map_ptr map;
+    };
+
+    mutable std::mutex mutex;
+    std::deque<kept_map> maps; ///< oldest first
+};
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/group/map_record.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "platform/table_service.h"
+
+#include <pomelohoist/error.h>
+#include <pomelohoist/expert_balance.h>
+
+#include <cstdint>
+#include <string>
+
+/// Row `map/GROUP`: the last committed map, for a cold start of the group.
+namespace pomelohoist {
+
+class map_record {
+  public:
+    map_record(table_service& rows, const std::string& group, const expert_shape& size);
+
+    /// @returns the stored map, the first map of the shape when there is no row or one of another shape, or
+    /// `store_unavailable`
+    result<expert_map> read();
+    /// Stores a committed map, unless the row holds a newer one or was written under a higher epoch.
+    result<done> write(const expert_map& committed, std::uint64_t epoch);
+
+  private:
+    table_service& table;
+    std::string key;
+    expert_shape shape;
+};
+
+} // namespace pomelohoist
--- /dev/null
+++ b/tests/group/interleaving_test.cpp
@@ -0,0 +1,64 @@
+#include "group/message_soup.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+namespace pomelohoist::test_group {
+namespace {
+
+constexpr std::uint32_t quiet_interval = 100;
+
+struct run_totals {
+    std::uint64_t commits{0};
+    std::uint64_t restarts{0};
+};
+
+/// Runs random events.
+/// @returns nothing when the steps mixed maps or did not go on
+std::optional<run_totals> run_events(std::uint32_t ranks, std::uint64_t seed, std::uint32_t events) {
+    std::mt19937_64 random{seed};
+    message_soup group{ranks};
+    for (std::uint32_t i = 0; i < events; ++i) {
+        // The latest messages are the likeliest; an old one comes now and then.
+        const auto age = static_cast<std::uint32_t>(random() % 3 == 0 ? random() : random() % 2);
+        group.act(static_cast<std::uint32_t>(random()), static_cast<std::uint32_t>(random()), age);
+        // After a quiet time the group is in order again and the next switches meet messages of the earlier ones.
+        if (i % quiet_interval == quiet_interval - 1 && !group.finish(2)) {
+            return std::nullopt;
+        }
+    }
+    if (!group.finish(5) || group.mixed_step()) {
+        return std::nullopt;
+    }
+    return run_totals{group.commits(), group.restarts()};
+}
+
+// Guards against any order of late, repeated and lost messages, restarts, recoveries and two coordinators at once that
+// lets two ranks run one step with different maps, or that leaves the group stopped.
+RC_GTEST_PROP(interleaving_test, every_step_has_one_map, ()) {
+    const auto ranks = *rc::gen::inRange<std::uint32_t>(2, 6);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    RC_ASSERT(run_events(ranks, seed, *rc::gen::inRange<std::uint32_t>(50, 600)).has_value());
+}
+
+// Guards against a test that passes because nothing happens: many fixed seeds must commit switches under restarts.
+TEST(interleaving_test, fixed_seeds_commit_switches_under_restarts) {
+    constexpr std::uint64_t seeds = 1000;
+    constexpr std::uint32_t events = 1200;
+    run_totals all;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const auto totals = run_events(3 + seed % 3, seed, events);
+        ASSERT_TRUE(totals) << "seed " << seed;
+        all.commits += totals->commits;
+        all.restarts += totals->restarts;
+    }
+    EXPECT_GT(all.commits, seeds);
+    EXPECT_GT(all.restarts, seeds);
+    RecordProperty("commits", static_cast<int>(all.commits));
+    RecordProperty("restarts", static_cast<int>(all.restarts));
+}
+
+} // namespace
+} // namespace pomelohoist::test_group
--- /dev/null
+++ b/tests/group/message_soup.cpp
@@ -0,0 +1,204 @@
+#include "group/message_soup.h"
+
+#include <algorithm>
+
+namespace pomelohoist::test_group {
+
+namespace {
+
+// The bound of the model. When all ranks have lost their memory it is a cold start, which is outside the model.
+constexpr std::uint32_t max_restarts_of_a_switch = 2;
+constexpr map_start first_map{{1, 1}, 0};
+
+} // namespace
+
+message_soup::message_soup(std::uint32_t number_of_ranks)
+    : ranks(number_of_ranks), members(number_of_ranks), runners(number_of_ranks), incarnations(number_of_ranks, 0) {
+    for (std::uint32_t rank = 0; rank < this->ranks; ++rank) {
+        this->start_member(rank);
+    }
+    this->finish(1);
+}
+
+void message_soup::start_member(std::uint32_t rank) {
+    member& started = this->members[rank];
+    started = member{std::make_unique<fencing_gate>(), nullptr, {}, {}};
+    const group_place place{"g", rank, this->ranks, ++this->incarnations[rank]};
+    started.participant = std::make_unique<switch_participant>(place, this->time, *started.gate, this->contents);
+}
+
+// The model bounds the restarts during one switch; a new switch counts from the moment when no rank is undecided.
+bool message_soup::is_group_settled() const {
+    return std::all_of(this->members.begin(), this->members.end(), [this](const member& one) {
+        return !one.participant->is_recovering() && !one.participant->has_open_promise() &&
+               one.participant->in_force() == this->members.front().participant->in_force();
+    });
+}
+
+void message_soup::restart(std::uint32_t rank) {
+    if (this->is_group_settled()) {
+        this->restarts_since_settled = 0;
+    }
+    if (this->restarts_since_settled == std::min(max_restarts_of_a_switch, this->ranks - 1)) {
+        return;
+    }
+    ++this->restarts_since_settled;
+    ++this->restart_count;
+    this->start_member(rank);
+}
+
+void message_soup::start_step(std::uint32_t rank) {
+    lock_step_rank& runner = this->runners[rank];
+    const bool is_free = std::all_of(this->runners.begin(), this->runners.end(),
+                                     [&runner](const lock_step_rank& other) { return other.next >= runner.next; });
+    switch_participant& agent = *this->members[rank].participant;
+    agent.report({runner.next, runner.running});
+    const auto granted = is_free ? agent.grant_step({runner.next, runner.running}) : std::nullopt;
+    if (!granted) {
+        return;
+    }
+    const auto used = this->map_of_step.emplace(runner.next, granted->map).first;
+    if (used->second != granted->map && !this->mixed) {
+        this->mixed = runner.next;
+    }
+    runner.running = granted;
+    ++runner.next;
+}
+
+void message_soup::read_ballot(std::uint32_t rank, std::uint32_t from) {
+    member& reader = this->members[rank];
+    if (rank == from || !reader.participant->needs_ballots() || !reader.read_from.insert(from).second) {
+        return;
+    }
+    const inner::switch_query read{"g", {}, true};
+    reader.read_ballots.push_back(this->members[from].participant->handle_query(read).highest);
+    reader.participant->take_ballots(reader.read_ballots);
+}
+
+void message_soup::open_switch(std::uint32_t rank, std::uint32_t lead) {
+    switch_participant& participant = *this->members[rank].participant;
+    const auto in_force = participant.in_force();
+    if (!in_force) {
+        return;
+    }
+    const map_start next{{in_force->map.version + 1, ++this->next_digest}, participant.next_step() + lead % 4};
+    // Every second coordinator still has the epoch of an earlier one.
+    const auto opened = participant.open_switch(this->epoch + lead % 2, next);
+    if (opened) {
+        this->epoch = std::max(this->epoch, opened->ballot.epoch);
+        this->prepares.push_back(*opened);
+    }
+}
+
+void message_soup::close_switch(std::uint32_t rank, bool give_up) {
+    switch_participant& participant = *this->members[rank].participant;
+    for (const inner::switch_prepare& prepare : this->prepares) {
+        if (prepare.ballot.rank != rank || prepare.ballot.incarnation != this->incarnations[rank]) {
+            continue;
+        }
+        const bool all = is_promised_by_all(this->votes, prepare.ballot, {"g", rank, this->ranks, 1});
+        if (!all && !give_up) {
+            continue;
+        }
+        const auto decision = participant.close_switch(prepare.ballot, all);
+        if (decision) {
+            this->committed += all ? 1 : 0;
+            this->decisions.push_back(*decision);
+        }
+    }
+}
+
+void message_soup::open_recovery(std::uint32_t rank) {
+    const auto query = this->members[rank].participant->open_recovery();
+    if (query) {
+        this->queries.push_back(*query);
+    }
+}
+
+void message_soup::close_recovery(std::uint32_t rank) {
+    for (const inner::switch_query& query : this->queries) {
+        if (query.ballot.rank != rank) {
+            continue;
+        }
+        std::vector<inner::switch_state> replies;
+        std::copy_if(this->answers.begin(), this->answers.end(), std::back_inserter(replies),
+                     [&query](const inner::switch_state& state) { return state.ballot == query.ballot; });
+        const auto decision = this->members[rank].participant->close_recovery(query.ballot, replies, first_map);
+        if (decision) {
+            this->decisions.push_back(*decision);
+        }
+    }
+}
+
+void message_soup::act(std::uint32_t kind, std::uint32_t rank, std::uint32_t message) {
+    rank %= this->ranks;
+    switch_participant& participant = *this->members[rank].participant;
+    switch (kind % event_kinds) {
+    case 0:
+        return rank == 0 || message % 4 == 0 ? this->open_switch(rank, message) : this->start_step(rank);
+    case 1:
+    case 2:
+    case 3:
+    case 4:
+        if (const auto* prepare = this->pick(this->prepares, message)) {
+            this->votes.push_back(participant.handle_prepare(*prepare));
+        }
+        return;
+    case 11:
+        return this->close_switch(rank, message % 16 == 15);
+    case 12:
+        return message % 3 == 0 ? this->open_recovery(rank) : this->close_switch(0, false);
+    case 5:
+    case 6:
+        if (const auto* query = this->pick(this->queries, message)) {
+            const auto state = participant.handle_query(*query);
+            if (state.answers) {
+                this->answers.push_back(state);
+            }
+        }
+        return;
+    case 7:
+        return this->close_recovery(rank);
+    case 8:
+        if (const auto* decision = this->pick(this->decisions, message)) {
+            participant.handle_decision(*decision);
+        }
+        return;
+    case 9:
+        return message % 8 == 3 ? this->restart(rank) : this->start_step(rank);
+    case 10:
+        return this->read_ballot(rank, message % this->ranks);
+    default:
+        return this->start_step(rank);
+    }
+}
+
+bool message_soup::finish(std::uint64_t more_steps) {
+    const std::uint64_t goal = this->runners.front().next + more_steps;
+    constexpr std::uint32_t max_rounds = 40;
+    for (std::uint32_t round = 0; round < max_rounds + more_steps; ++round) {
+        for (std::uint32_t rank = 0; rank < this->ranks; ++rank) {
+            this->start_step(rank);
+            for (std::uint32_t from = 0; from < this->ranks; ++from) {
+                this->read_ballot(rank, from);
+            }
+        }
+        const std::uint32_t proposer = round % this->ranks;
+        this->open_recovery(proposer);
+        for (std::uint32_t rank = 0; rank < this->ranks && !this->queries.empty(); ++rank) {
+            const auto state = this->members[rank].participant->handle_query(this->queries.back());
+            if (state.answers) {
+                this->answers.push_back(state);
+            }
+            this->members[proposer].participant->observe_ballot(state.highest);
+        }
+        this->close_recovery(proposer);
+        for (std::uint32_t rank = 0; rank < this->ranks && !this->decisions.empty(); ++rank) {
+            this->members[rank].participant->handle_decision(this->decisions.back());
+        }
+    }
+    return std::all_of(this->runners.begin(), this->runners.end(),
+                       [goal](const lock_step_rank& runner) { return runner.next >= goal; });
+}
+
+} // namespace pomelohoist::test_group
