Add the coordinator of a group and the agent's part in it

group_coordinator runs in the agent that holds lease/GROUP: it reads the step reports of all ranks, asks the balancer, orders the copies at the weight store as fast as the store takes them, and starts a switch. Row map/GROUP is written whenever the map in force is newer than the row, so a write that an outage lost is made up for.

The rank asks its agent over HTTP on the loopback. The inner protocol would make every engine speak cereal.

A map's content goes from agent to agent by TCP. Through the object store a restarted agent could not get it during an outage.

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -76,7 +76,7 @@
 inline constexpr std::uint32_t coordinator_candidates = 8; // bounds the reads of the lease row by a large group
 inline constexpr std::uint64_t switch_lead_steps = 2;
 inline constexpr std::chrono::milliseconds switch_lead_time{50};
-inline constexpr std::size_t kept_step_reports = 8;
+inline constexpr std::size_t kept_step_reports = 16;
 inline constexpr std::size_t kept_maps = 8;
 
 // Store access.
--- /dev/null
+++ b/src/group/group_agent.cpp
@@ -0,0 +1,119 @@
+#include "group/group_agent.h"
+
+#include <chrono>
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+constexpr std::chrono::milliseconds declaration_interval{50};
+
+using inner::message_type;
+using inner::payload;
+
+/// Decodes the request and encodes what the member makes of it.
+template <class Request, class Reply>
+payload answer(group_member* member, const inner::packet& received, Reply (group_member::*serve)(const Request&)) {
+    if (member == nullptr) {
+        return to_payload(inner::failure_reply{error_kind::not_ready, "the endpoint has no declared rank yet"});
+    }
+    const result<Request> request = inner::decode_body<Request>(received);
+    if (!request) {
+        return to_payload(inner::failure_reply{request.last_error().kind, request.last_error().reason});
+    }
+    return to_payload((member->*serve)(*request));
+}
+
+} // namespace
+
+group_agent::group_agent(const group_settings& chosen, std::string endpoint, std::uint64_t incarnation,
+                         const member_parts& used_parts, inner::datagram_handler& next_datagrams,
+                         inner::stream_handler& next_streams)
+    : settings(chosen), endpoint_name(std::move(endpoint)), own_incarnation(incarnation), parts(used_parts),
+      datagrams(next_datagrams), streams(next_streams),
+      server(std::make_unique<step_server>(chosen.step_address, *this)), join_thread([this] { this->join_loop(); }) {}
+
+group_agent::~group_agent() {
+    {
+        const std::lock_guard lock{this->mutex};
+        this->stopping = true;
+    }
+    this->stopped.notify_all();
+    this->join_thread.join();
+    this->server.reset();
+}
+
+void group_agent::join_loop() {
+    std::unique_lock lock{this->mutex};
+    while (!this->stopping && !this->joined) {
+        lock.unlock();
+        const bool is_joined = this->try_join();
+        lock.lock();
+        if (!is_joined) {
+            this->stopped.wait_for(lock, declaration_interval, [this] { return this->stopping; });
+        }
+    }
+}
+
+bool group_agent::try_join() {
+    const std::optional<declared_place> place = find_place(this->parts.source, this->endpoint_name);
+    if (!place || place->rank >= this->settings.shape.ranks) {
+        return false;
+    }
+    const group_place own{place->group, place->rank, this->settings.shape.ranks, this->own_incarnation};
+    auto member = std::make_shared<group_member>(own, this->settings, this->parts);
+    const std::lock_guard lock{this->mutex};
+    this->joined = std::move(member);
+    return true;
+}
+
+std::shared_ptr<group_member> group_agent::member() {
+    const std::lock_guard lock{this->mutex};
+    return this->joined;
+}
+
+payload group_agent::handle_datagram(const inner::packet& request) {
+    const std::shared_ptr<group_member> member = this->member();
+    switch (request.type) {
+    case message_type::switch_prepare:
+        return answer(member.get(), request, &group_member::handle_prepare);
+    case message_type::switch_query:
+        return answer(member.get(), request, &group_member::handle_query);
+    case message_type::switch_decision:
+        return answer(member.get(), request, &group_member::handle_decision);
+    default:
+        return this->datagrams.handle_datagram(request);
+    }
+}
+
+void group_agent::handle_stream(const inner::packet& first, inner::frame_channel& channel) {
+    const std::shared_ptr<group_member> member = this->member();
+    switch (first.type) {
+    case message_type::map_request:
+        static_cast<void>(channel.write(answer(member.get(), first, &group_member::handle_map)));
+        return;
+    case message_type::step_report_request:
+        static_cast<void>(channel.write(answer(member.get(), first, &group_member::handle_report)));
+        return;
+    default:
+        this->streams.handle_stream(first, channel);
+    }
+}
+
+rank_answer group_agent::serve_step(const rank_call& call) {
+    const std::shared_ptr<group_member> member = this->member();
+    return member ? member->serve_step(call) : rank_answer{};
+}
+
+std::vector<std::uint32_t> group_agent::find_map(const map_id& wanted) {
+    const std::shared_ptr<group_member> member = this->member();
+    return member ? member->find_map(wanted) : std::vector<std::uint32_t>{};
+}
+
+bool group_agent::take_map(std::uint64_t version, const std::vector<std::uint32_t>& slots) {
+    const std::shared_ptr<group_member> member = this->member();
+    return member && member->take_map(version, slots);
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/group/group_coordinator.cpp
@@ -0,0 +1,127 @@
+#include "group/group_coordinator.h"
+
+#include <pomelohoist/config.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+constexpr std::uint32_t max_late_prepares = 6; // 2^6 times the usual lead
+
+} // namespace
+
+group_coordinator::group_coordinator(const group_place& own_place, const coordinator_parts& used_parts,
+                                     std::unique_ptr<expert_balancer> policy)
+    : place(own_place), parts(used_parts), balancer(std::move(policy)) {}
+
+coordinator_turn group_coordinator::run() {
+    const std::optional<std::uint64_t> epoch = this->parts.group_lease.held_epoch();
+    const std::optional<map_start> in_force = this->parts.participant.in_force();
+    const map_ptr map = in_force ? this->parts.maps.find(in_force->map) : nullptr;
+    if (!epoch || !map) {
+        this->planned.reset();
+        return coordinator_turn::not_holder;
+    }
+    // Any coordinator may find a committed map that its predecessor did not record, or that the store did not take.
+    if (this->recorded_version < map->version() && this->parts.record.write(*map, *epoch)) {
+        this->recorded_version = map->version();
+    }
+    if (this->planned && this->planned_base != in_force->map) {
+        this->planned.reset();
+    }
+    const std::vector<inner::step_report> reports = this->parts.measurements.latest();
+    const bool is_new = reports.size() == this->place.ranks && reports.front().in_force.map == in_force->map &&
+                        reports.front().step != this->observed_step;
+    if (is_new) {
+        this->observe(reports, *map);
+    }
+    if (!this->planned) {
+        if (!is_new) {
+            return coordinator_turn::no_measurement;
+        }
+        this->plan(*map);
+        this->planned_base = in_force->map;
+    }
+    if (!this->planned) {
+        return coordinator_turn::no_change;
+    }
+    if (!this->order_copies()) {
+        return coordinator_turn::ordering;
+    }
+    return this->start_switch(*epoch, *in_force);
+}
+
+void group_coordinator::observe(const std::vector<inner::step_report>& reports, const expert_map& in_force) {
+    std::vector<double> tokens(in_force.shape().cells(), 0.0);
+    std::vector<double> times;
+    for (const inner::step_report& report : reports) {
+        times.push_back(report.time_ms);
+        for (std::size_t i = 0; i < std::min(tokens.size(), report.tokens.size()); ++i) {
+            tokens[i] += report.tokens[i];
+        }
+    }
+    this->step_ms = *std::max_element(times.begin(), times.end());
+    this->observed_step = reports.front().step;
+    this->balancer->observe(tokens, times, in_force);
+}
+
+void group_coordinator::plan(const expert_map& in_force) {
+    const std::vector<expert_move> moves = this->balancer->plan(in_force);
+    const result<expert_map> next = in_force.with_moves(moves);
+    if (moves.empty() || !next) {
+        return;
+    }
+    this->orders.clear();
+    for (const expert_move& move : moves) {
+        if (move.expert != no_expert && !in_force.holds(move.layer, move.rank, move.expert)) {
+            this->orders.push_back({move.layer, move.expert, move.rank});
+        }
+    }
+    this->planned = *next;
+}
+
+// The weight store sets the rate by refusing; the rest is ordered in the next turns and stalls no step.
+bool group_coordinator::order_copies() {
+    while (!this->orders.empty()) {
+        const copy_order& order = this->orders.back();
+        const result<done> taken =
+            this->parts.weights.fetch_expert(this->place.group, order.layer, order.expert, order.rank);
+        if (!taken) {
+            this->reason = taken.last_error().reason;
+            return false;
+        }
+        this->orders.pop_back();
+    }
+    return true;
+}
+
+// A switch that comes after its step is aborted, so the step lies further ahead after each such abort.
+std::uint64_t group_coordinator::lead_steps() const {
+    const double limit_ms = static_cast<double>(config::switch_lead_time.count());
+    const double steps = this->step_ms > 0 ? std::ceil(limit_ms / this->step_ms) : 0;
+    const auto lead = config::switch_lead_steps + static_cast<std::uint64_t>(std::min(steps, limit_ms));
+    return lead << std::min(this->late_prepares, max_late_prepares);
+}
+
+coordinator_turn group_coordinator::start_switch(std::uint64_t epoch, const map_start& in_force) {
+    const std::uint64_t now = this->parts.participant.next_step();
+    if (now <= in_force.from_step) {
+        return coordinator_turn::no_measurement;
+    }
+    const map_start next{this->parts.maps.add(*this->planned), now + this->lead_steps()};
+    const result<done> outcome = this->parts.switches.run(epoch, next);
+    if (!outcome) {
+        this->reason = outcome.last_error().reason;
+        ++this->late_prepares;
+        return coordinator_turn::aborted;
+    }
+    this->late_prepares = 0;
+    this->planned.reset();
+    return coordinator_turn::committed;
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/group/step_server.cpp
@@ -0,0 +1,140 @@
+#include "group/step_server.h"
+
+#include "common/listen_socket.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/URI.h>
+
+#include <nlohmann/json.hpp>
+
+#include <exception>
+
+namespace pomelohoist {
+
+namespace {
+
+using nlohmann::json;
+using Poco::Net::HTTPResponse;
+
+constexpr int min_threads = 2;
+constexpr int max_threads = 8; // one rank asks one question at a time; the rest are abandoned connections
+constexpr int listen_backlog = 64;
+
+struct http_answer {
+    HTTPResponse::HTTPStatus status{HTTPResponse::HTTP_OK};
+    json content;
+};
+
+rank_call parse_call(const json& content) {
+    rank_call call;
+    call.request.step = content.at("step").get<std::uint64_t>();
+    call.is_ready = content.value("is_ready", true);
+    if (content.contains("last")) {
+        const json& last = content.at("last");
+        const map_id map{last.at("map_version").get<std::uint64_t>(),
+                         std::stoull(last.at("map_digest").get<std::string>())};
+        call.request.running = map_start{map, last.at("from_step").get<std::uint64_t>()};
+        call.time_ms = last.value("time_ms", 0.0);
+        call.tokens = last.value("tokens", std::vector<double>{});
+    }
+    return call;
+}
+
+http_answer answer_step(rank_service& service, const std::string& body) {
+    const rank_answer answer = service.serve_step(parse_call(json::parse(body)));
+    if (!answer.granted) {
+        return {HTTPResponse::HTTP_CONFLICT, {{"wait", true}, {"needs_map", answer.needs_map}}};
+    }
+    const std::optional<map_start>& granted = answer.granted;
+    return {HTTPResponse::HTTP_OK,
+            {{"map_version", granted->map.version},
+             {"map_digest", std::to_string(granted->map.digest)},
+             {"from_step", granted->from_step},
+             {"needs_map", answer.needs_map}}};
+}
+
+http_answer answer_map(rank_service& service, const Poco::URI& target) {
+    map_id wanted;
+    for (const auto& [name, value] : target.getQueryParameters()) {
+        if (name == "version") {
+            wanted.version = std::stoull(value);
+        } else if (name == "digest") {
+            wanted.digest = std::stoull(value);
+        }
+    }
+    const std::vector<std::uint32_t> slots = service.find_map(wanted);
+    if (slots.empty()) {
+        return {HTTPResponse::HTTP_NOT_FOUND, json::object()};
+    }
+    return {HTTPResponse::HTTP_OK, {{"version", wanted.version}, {"slots", slots}}};
+}
+
+class step_handler : public Poco::Net::HTTPRequestHandler {
+  public:
+    explicit step_handler(rank_service& served) : service(served) {}
+
+    void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override {
+        http_answer answer{HTTPResponse::HTTP_NOT_FOUND, json::object()};
+        try {
+            std::string body;
+            Poco::StreamCopier::copyToString(request.stream(), body);
+            const Poco::URI target{request.getURI()};
+            if (request.getMethod() == "POST" && target.getPath() == "/step") {
+                answer = answer_step(this->service, body);
+            } else if (request.getMethod() == "GET" && target.getPath() == "/map") {
+                answer = answer_map(this->service, target);
+            } else if (request.getMethod() == "POST" && target.getPath() == "/map") {
+                const json content = json::parse(body);
+                const bool is_taken = this->service.take_map(content.at("version").get<std::uint64_t>(),
+                                                             content.at("slots").get<std::vector<std::uint32_t>>());
+                answer.status = is_taken ? HTTPResponse::HTTP_OK : HTTPResponse::HTTP_BAD_REQUEST;
+            }
+        } catch (const std::exception& error) {
+            answer = {HTTPResponse::HTTP_BAD_REQUEST, {{"error", error.what()}}};
+        }
+        const std::string text = answer.content.dump();
+        response.setStatusAndReason(answer.status);
+        response.setContentType("application/json");
+        response.sendBuffer(text.data(), text.size());
+    }
+
+  private:
+    rank_service& service;
+};
+
+class step_factory : public Poco::Net::HTTPRequestHandlerFactory {
+  public:
+    explicit step_factory(rank_service& served) : service(served) {}
+    Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest& /*request*/) override {
+        return new step_handler{this->service};
+    }
+
+  private:
+    rank_service& service;
+};
+
+} // namespace
+
+step_server::step_server(const net_address& local, rank_service& served)
+    : socket(bind_listener(local, listen_backlog)), bound{local.ip, this->socket.address().port()},
+      pool(min_threads, max_threads) {
+    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+    params->setMaxThreads(max_threads);
+    params->setMaxQueued(listen_backlog);
+    params->setKeepAlive(true);
+    params->setMaxKeepAliveRequests(0);
+    this->server = std::make_unique<Poco::Net::HTTPServer>(new step_factory{served}, this->pool, this->socket, params);
+    this->server->start();
+}
+
+step_server::~step_server() {
+    this->server->stopAll(true);
+    this->pool.joinAll();
+}
+
+} // namespace pomelohoist
