Serve an endpoint with a group and a rank

With group.step_address set, the group's handler stands before the agent's own and passes on all messages that are not of the group. Without it nothing changes.

--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/agent_handler.h"
 #include "agent/peer_suspect_publisher.h"
+#include "group/group_agent.h"
 
 #include <pomelohoist/config.h>
 
@@ -10,6 +11,7 @@
 #include <algorithm>
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -29,6 +31,7 @@
     std::vector<net_address> seeds;
     bool is_model{true};
     endpoint_rates rates;
+    std::optional<group_settings> group; ///< nothing for an endpoint without a group
 };
 
 agent_settings read_settings(const settings& checked) {
@@ -103,10 +106,22 @@
                                           this->monitor, this->watch, this->orders, *this->source},
                                          chosen.identity, *this->source, this->suspects),
           poller(this->monitor) {
-        this->listener->start(this->handler, this->handler);
+        if (!chosen.group) {
+            this->listener->start(this->handler, this->handler);
+            return;
+        }
+        const member_parts parts{context,      this->listener->calls(), *this->source,
+                                 this->orders, chosen.identity.name,    chosen.platform};
+        this->group = std::make_unique<group_agent>(*chosen.group, chosen.identity.endpoint_name,
+                                                    this->tickets.incarnation(), parts, this->handler, this->handler);
+        this->listener->start(*this->group, *this->group);
     }
 
-    [[nodiscard]] net_address address() const { return this->listener->local_address(); }
+    /// @returns what the daemon prints when it is ready
+    [[nodiscard]] std::string addresses() const {
+        const std::string inner_address = "inner=" + this->listener->local_address().to_string();
+        return this->group ? inner_address + " http=" + this->group->step_address().to_string() : inner_address;
+    }
 
     void stop(const clock& time) {
         this->handler.begin_drain();
@@ -137,14 +152,20 @@
     run_watch watch;
     agent_handler handler;
     health_poller poller;
+    std::unique_ptr<group_agent> group;
 };
 
 class agent_daemon : public daemon {
   public:
-    agent_daemon(agent_settings chosen_settings, const daemon_context& host, source_maker maker)
-        : chosen(std::move(chosen_settings)), context(host), make_source(std::move(maker)) {}
+    agent_daemon(const settings& checked, const daemon_context& host, source_maker maker)
+        : chosen(read_settings(checked)), group(read_group_settings(checked)), context(host),
+          make_source(std::move(maker)) {}
 
     result<std::string> start() override {
+        if (!this->group) {
+            return this->group.last_error();
+        }
+        this->chosen.group = *this->group;
         try {
             auto listener = std::make_unique<inner::peer_listener>(this->chosen.inner, this->chosen.identity.name,
                                                                    this->context.time);
@@ -156,9 +177,9 @@
             }
             this->running =
                 std::make_unique<running_agent>(this->chosen, this->context, std::move(listener), std::move(*source));
-            return "inner=" + this->running->address().to_string();
+            return this->running->addresses();
         } catch (const Poco::Exception& error) {
-            return failure{error_kind::invalid_settings, "inner.address: " + error.displayText()};
+            return failure{error_kind::invalid_settings, "inner.address or group.step_address: " + error.displayText()};
         }
     }
 
@@ -171,6 +192,7 @@
 
   private:
     agent_settings chosen;
+    result<std::optional<group_settings>> group;
     daemon_context context;
     source_maker make_source;
     std::unique_ptr<running_agent> running;
@@ -179,7 +201,7 @@
 } // namespace
 
 settings_schema agent_daemon_factory::schema() const {
-    return {
+    settings_schema schema{
         {"inner.address", setting_type::address, true, "", "address for entries and peers, UDP and TCP", {}},
         {"endpoint.name", setting_type::text, true, "", "name of the declared endpoint beside this agent", {}},
         {"endpoint.kind", setting_type::choice, false, "model", "kind of the endpoint", {"model", "service"}},
@@ -190,10 +212,13 @@
         {"peers.seeds", setting_type::address_list, false, "", "inner addresses of other processes", {}},
         {"platform.address", setting_type::address, true, "", "address of the platform's services", {}},
     };
+    const settings_schema of_group = group_schema();
+    schema.insert(schema.end(), of_group.begin(), of_group.end());
+    return schema;
 }
 
 std::unique_ptr<daemon> agent_daemon_factory::create(const settings& checked, const daemon_context& context) {
-    return std::make_unique<agent_daemon>(read_settings(checked), context, this->make_source);
+    return std::make_unique<agent_daemon>(checked, context, this->make_source);
 }
 
 } // namespace pomelohoist
