Test the map switch in processes, with a stand-in for a lock-step rank

Eight ranks with their agents and the platform: kills and freezes of the coordinator, a store outage, a restart of all agents, seeded combinations. The check reads the ranks' journals: one map for each step at all ranks.

--- /dev/null
+++ b/standins/rank/lock_step.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <pomelohoist/expert_balance.h>
+#include <pomelohoist/types.h>
+
+#include <Poco/Net/HTTPClientSession.h>
+
+#include <condition_variable>
+#include <cstdint>
+#include <fstream>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// A rank of a lock-step group: asks its agent for each step, and starts it when all ranks have started the one before.
+namespace standin {
+
+/// Counts at rank 0 which steps the ranks have started.
+class step_barrier {
+  public:
+    explicit step_barrier(std::uint32_t ranks) : started(ranks, 0) {}
+
+    /// Takes that a rank has started this many steps, and waits a while for the others.
+    /// @returns true when all ranks have
+    bool arrive(std::uint32_t rank, std::uint64_t steps);
+
+  private:
+    std::mutex mutex;
+    std::condition_variable arrived;
+    std::vector<std::uint64_t> started;
+};
+
+struct rank_options {
+    std::uint32_t rank{0};
+    pomelohoist::expert_shape shape;
+    std::uint32_t step_ms{1};
+    std::uint32_t shift_steps{100}; ///< steps after which other experts become popular
+    std::string journal;            ///< a line "STEP MAP_VERSION MAP_DIGEST" for each step that is started
+};
+
+/// Where the rank finds the others.
+struct rank_peers {
+    pomelohoist::net_address agent;
+    pomelohoist::net_address root; ///< stand-in of rank 0
+};
+
+/// A map as the agent names it.
+struct granted_map {
+    std::uint64_t version{0};
+    std::string digest;
+    std::uint64_t from_step{0};
+
+    friend bool operator==(const granted_map&, const granted_map&) = default;
+};
+
+class lock_step {
+  public:
+    explicit lock_step(rank_options chosen);
+    ~lock_step();
+    lock_step(const lock_step&) = delete;
+    lock_step& operator=(const lock_step&) = delete;
+
+    /// Starts to run steps; a second call is ignored.
+    void start(const rank_peers& known);
+
+  private:
+    struct exchange {
+        int status{0}; ///< 0: no answer
+        std::string body;
+    };
+
+    void loop();
+    bool is_ready();
+    std::optional<granted_map> ask_agent(bool ready);
+    bool load_map(const granted_map& wanted);
+    void run_step(const granted_map& used);
+    [[nodiscard]] std::vector<double> popularity() const;
+    bool pause(std::uint32_t milliseconds);
+    exchange send(std::unique_ptr<Poco::Net::HTTPClientSession>& session, const pomelohoist::net_address& target,
+                  const std::string& method, const std::string& path, const std::string& body);
+
+    rank_options options;
+    rank_peers peers;
+    std::ofstream journal;
+    std::unique_ptr<Poco::Net::HTTPClientSession> agent_session;
+    std::unique_ptr<Poco::Net::HTTPClientSession> root_session;
+    std::uint64_t step{0}; ///< next to start
+    std::optional<granted_map> running;
+    std::optional<granted_map> loaded;
+    std::optional<pomelohoist::expert_map> map; ///< content of `loaded`
+    double time_ms{0};
+    std::vector<double> tokens;
+    std::mutex mutex;
+    std::condition_variable stopped;
+    bool stopping{false};
+    std::thread thread;
+};
+
+} // namespace standin
--- /dev/null
+++ b/tests/group/group_process_test.cpp
@@ -0,0 +1,142 @@
+#include "group/rank_group.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace pomelohoist::test_group {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t ranks = 8;
+constexpr std::uint64_t some_steps = 50;
+
+std::string work_folder(const std::string& name) {
+    std::string folder = POMELOHOIST_BIN_DIR "/../group/" + name;
+    std::filesystem::remove_all(folder);
+    return folder;
+}
+
+/// Every test ends with this: one map for each step at all ranks, and steps that go on.
+void expect_lock_step(rank_group& group) {
+    EXPECT_TRUE(group.run_steps(some_steps)) << "the steps did not go on";
+    const journal_report report = group.read_journals();
+    EXPECT_EQ(report.faults, std::vector<std::string>{});
+    testing::Test::RecordProperty("steps", std::to_string(report.common_steps));
+    testing::Test::RecordProperty("maps", std::to_string(report.maps));
+    std::cout << "steps " << report.common_steps << " maps " << report.maps << '\n';
+}
+
+// Guards against maps that are never switched, or not at the same step.
+TEST(group_process_test, maps_are_switched_repeatedly) {
+    rank_group group{ranks, work_folder("switches")};
+    ASSERT_TRUE(group.run_maps(5));
+    expect_lock_step(group);
+    EXPECT_EQ(group.stop(), std::vector<std::string>{});
+}
+
+// Guards against a switch that stays half done when its coordinator dies, and against a restarted agent that grants
+// steps from an empty memory.
+TEST(group_process_test, coordinators_are_killed) {
+    rank_group group{ranks, work_folder("kills")};
+    ASSERT_TRUE(group.run_maps(2));
+    constexpr int kills = 4;
+    for (int kill = 0; kill < kills; ++kill) {
+        const auto coordinator = group.find_coordinator();
+        ASSERT_TRUE(coordinator);
+        group.agent(*coordinator).process->kill();
+        group.restart_agent(*coordinator);
+        ASSERT_TRUE(group.run_maps(1)) << "no switch after kill " << kill;
+    }
+    expect_lock_step(group);
+}
+
+// Guards against a coordinator that was frozen past its lease and still gets its orders through, beside its successor.
+TEST(group_process_test, coordinator_is_frozen_past_its_lease) {
+    rank_group group{ranks, work_folder("freezes")};
+    ASSERT_TRUE(group.run_maps(2));
+    constexpr int freezes = 3;
+    for (int freeze = 0; freeze < freezes; ++freeze) {
+        const auto frozen = group.find_coordinator();
+        ASSERT_TRUE(frozen);
+        group.agent(*frozen).process->freeze();
+        const auto give_up = std::chrono::steady_clock::now() + 60s;
+        while (group.find_coordinator() == frozen && std::chrono::steady_clock::now() < give_up) {
+            std::this_thread::sleep_for(20ms);
+        }
+        EXPECT_NE(group.find_coordinator(), frozen) << "nobody took the lease over";
+        group.agent(*frozen).process->resume();
+        ASSERT_TRUE(group.run_maps(1)) << "no switch after freeze " << freeze;
+    }
+    expect_lock_step(group);
+}
+
+// Guards against a group that needs the store to go on: agents restart while it is down.
+TEST(group_process_test, store_is_down) {
+    rank_group group{ranks, work_folder("store-down")};
+    ASSERT_TRUE(group.run_maps(2));
+    const auto coordinator = group.find_coordinator();
+    ASSERT_TRUE(coordinator);
+    group.set_store_down(true);
+    ASSERT_TRUE(group.run_steps(some_steps)) << "the steps need the store";
+    for (const std::uint32_t rank : {*coordinator, (*coordinator + 1) % ranks}) {
+        group.agent(rank).process->kill();
+        group.restart_agent(rank);
+        ASSERT_TRUE(group.run_steps(some_steps)) << "no recovery without the store";
+    }
+    group.set_store_down(false);
+    ASSERT_TRUE(group.run_maps(1)) << "no switch after the outage";
+    expect_lock_step(group);
+}
+
+// Guards against a cold start that lets ranks go on with different maps: all agents lose their memory at once.
+TEST(group_process_test, all_agents_are_restarted) {
+    rank_group group{ranks, work_folder("cold-start")};
+    ASSERT_TRUE(group.run_maps(2));
+    for (std::uint32_t rank = 0; rank < ranks; ++rank) {
+        group.agent(rank).process->kill();
+    }
+    for (std::uint32_t rank = 0; rank < ranks; ++rank) {
+        group.restart_agent(rank);
+    }
+    ASSERT_TRUE(group.run_maps(2));
+    expect_lock_step(group);
+}
+
+// Guards against combinations of faults at moments that nobody thought of.
+TEST(group_process_test, seeded_faults) {
+    const char* text = std::getenv("GROUP_SEED");
+    const std::uint64_t seed = text == nullptr ? 1 : std::stoull(text);
+    std::mt19937_64 random{seed};
+    rank_group group{ranks, work_folder("seed-" + std::to_string(seed))};
+    ASSERT_TRUE(group.run_maps(1));
+    constexpr int faults = 12;
+    for (int fault = 0; fault < faults; ++fault) {
+        const auto rank = static_cast<std::uint32_t>(random() % ranks);
+        const std::chrono::milliseconds moment{random() % 300};
+        const bool is_store_down = random() % 3 == 0;
+        std::this_thread::sleep_for(moment);
+        group.set_store_down(is_store_down);
+        if (random() % 2 == 0) {
+            group.agent(rank).process->kill();
+            group.restart_agent(rank);
+        } else {
+            group.agent(rank).process->freeze();
+            std::this_thread::sleep_for(std::chrono::milliseconds{random() % 2500});
+            group.agent(rank).process->resume();
+        }
+        ASSERT_TRUE(group.run_steps(random() % some_steps)) << "seed " << seed << " fault " << fault;
+    }
+    group.set_store_down(false);
+    ASSERT_TRUE(group.run_maps(1)) << "seed " << seed;
+    expect_lock_step(group);
+}
+
+} // namespace
+} // namespace pomelohoist::test_group
--- /dev/null
+++ b/tests/group/rank_group.cpp
@@ -0,0 +1,153 @@
+#include "group/rank_group.h"
+
+#include "platform/http_platform.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+#include <stdexcept>
+#include <thread>
+
+namespace pomelohoist::test_group {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+// A bound for a slow machine and not a target; a lost lease alone takes 3.5 s.
+constexpr auto patience = 90s;
+constexpr auto poll_interval = 20ms;
+constexpr std::uint16_t http_ok = 200;
+
+std::string name_of(std::uint32_t rank) {
+    return "rank-" + std::to_string(rank);
+}
+
+/// One line of a journal for each step.
+std::map<std::uint64_t, std::string> read_journal(const std::string& file, std::vector<std::string>& faults) {
+    std::map<std::uint64_t, std::string> map_of_step;
+    std::ifstream lines{file};
+    std::string line;
+    while (std::getline(lines, line)) {
+        const auto space = line.find(' ');
+        // The last line may still be on its way.
+        if (space == std::string::npos || line.find(' ', space + 1) == std::string::npos || lines.eof()) {
+            break;
+        }
+        const std::uint64_t step = std::stoull(line.substr(0, space));
+        if (step != map_of_step.size()) {
+            faults.push_back(file + ": step " + std::to_string(step) + " after " + std::to_string(map_of_step.size()));
+        }
+        map_of_step[step] = line.substr(space + 1);
+    }
+    return map_of_step;
+}
+
+} // namespace
+
+rank_group::rank_group(std::uint32_t number_of_ranks, const std::string& work_folder)
+    : ranks(number_of_ranks), all(POMELOHOIST_BIN_DIR, work_folder) {
+    this->all.start_platform({"--weight-rate", "1000"});
+    const std::string number = std::to_string(this->ranks);
+    for (std::uint32_t rank = 0; rank < this->ranks; ++rank) {
+        test_support::endpoint_options options;
+        options.name = name_of(rank);
+        options.serves = "m";
+        options.group = "g";
+        options.rank = rank;
+        options.standin_program = "standin-rank";
+        options.standin_arguments = {"--rank", std::to_string(rank), "--ranks", number, "--shift-steps", "150"};
+        options.group_settings = "ranks = " + number +
+                                 "\nexperts = 16\nlayers = 2\nslots_per_rank = 3\n"
+                                 "[balance]\nmove_weight = 0.01\nload_window_steps = 4\n";
+        this->all.start_endpoint(options);
+    }
+    if (this->all.apply(this->all.endpoint_declarations()).exit_status != 0) {
+        throw std::runtime_error("the declarations were not accepted");
+    }
+    const net_address root = this->all.endpoints().front()->standin.http;
+    for (const auto& endpoint : this->all.endpoints()) {
+        const json body{{"agent", endpoint->agent.http.to_string()}, {"root", root.to_string()}};
+        const auto answer =
+            test_support::send_http(endpoint->standin.http, {"PUT", "/standin/start", {}, body.dump(), 20s});
+        if (answer.status != http_ok) {
+            throw std::runtime_error(endpoint->options.name + " did not start");
+        }
+    }
+}
+
+std::optional<std::uint32_t> rank_group::find_coordinator() {
+    http_platform store{this->all.platform().http};
+    const auto row = store.get("lease/g");
+    if (!row || !*row) {
+        return std::nullopt;
+    }
+    const std::string holder = json::parse((*row)->value).at("holder").get<std::string>();
+    for (std::uint32_t rank = 0; rank < this->ranks; ++rank) {
+        if (holder.starts_with(name_of(rank) + "-agent-")) {
+            return rank;
+        }
+    }
+    return std::nullopt;
+}
+
+test_support::running_program& rank_group::agent(std::uint32_t rank) {
+    return this->all.endpoints().at(rank)->agent;
+}
+
+void rank_group::restart_agent(std::uint32_t rank) {
+    this->all.restart_agent(*this->all.endpoints().at(rank));
+}
+
+void rank_group::set_store_down(bool down) {
+    const json body{{"down", down ? "close" : ""}};
+    test_support::send_http(this->all.platform().http, {"PUT", "/standin/faults", {}, body.dump(), 20s});
+}
+
+journal_report rank_group::read_journals() const {
+    journal_report report;
+    std::map<std::uint64_t, std::string> map_of_step;
+    std::set<std::string> maps;
+    report.common_steps = std::numeric_limits<std::uint64_t>::max();
+    for (std::uint32_t rank = 0; rank < this->ranks; ++rank) {
+        const std::string file = this->all.work_folder() + "/" + name_of(rank) + ".journal";
+        const auto own = read_journal(file, report.faults);
+        report.common_steps = std::min<std::uint64_t>(report.common_steps, own.size());
+        for (const auto& [step, map] : own) {
+            const auto first = map_of_step.emplace(step, map).first;
+            maps.insert(map);
+            if (first->second != map) {
+                report.faults.push_back("step " + std::to_string(step) + ": map " + map + " at rank " +
+                                        std::to_string(rank) + " and map " + first->second);
+            }
+        }
+    }
+    report.maps = maps.size();
+    return report;
+}
+
+template <class Condition> bool rank_group::wait_until(const Condition& condition) const {
+    const auto give_up = std::chrono::steady_clock::now() + patience;
+    while (std::chrono::steady_clock::now() < give_up) {
+        if (condition(this->read_journals())) {
+            return true;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return false;
+}
+
+bool rank_group::run_steps(std::uint64_t more) {
+    const std::uint64_t goal = this->read_journals().common_steps + more;
+    return this->wait_until([goal](const journal_report& now) { return now.common_steps >= goal; });
+}
+
+bool rank_group::run_maps(std::uint64_t more) {
+    const std::uint64_t goal = this->read_journals().maps + more;
+    return this->wait_until([goal](const journal_report& now) { return now.maps >= goal; });
+}
+
+} // namespace pomelohoist::test_group
--- /dev/null
+++ b/tests/group/rank_group.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "support/deployment.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// A lock-step group in processes: platform, rank stand-ins and their agents.
+namespace pomelohoist::test_group {
+
+/// What the journals of all ranks say.
+struct journal_report {
+    std::uint64_t common_steps{0};   ///< steps that every rank has started
+    std::uint64_t maps{0};           ///< different maps that steps ran with
+    std::vector<std::string> faults; ///< steps with two maps, steps that a rank repeated or left out
+};
+
+class rank_group {
+  public:
+    rank_group(std::uint32_t number_of_ranks, const std::string& work_folder);
+
+    /// @returns index of the holder of the lease as the store knows it, or nothing
+    std::optional<std::uint32_t> find_coordinator();
+    test_support::running_program& agent(std::uint32_t rank);
+    void restart_agent(std::uint32_t rank);
+    void set_store_down(bool down);
+
+    [[nodiscard]] journal_report read_journals() const;
+    /// Waits until every rank has started that many more steps.
+    /// @returns false when the time is over
+    bool run_steps(std::uint64_t more);
+    /// Waits until steps ran with that many more maps.
+    /// @returns false when the time is over
+    bool run_maps(std::uint64_t more);
+
+    std::vector<std::string> stop() { return this->all.stop_all(); }
+
+  private:
+    template <class Condition> bool wait_until(const Condition& condition) const;
+
+    std::uint32_t ranks;
+    test_support::deployment all;
+};
+
+} // namespace pomelohoist::test_group
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -112,7 +112,8 @@
     words.insert(words.begin(), {"--listen", endpoint.standin.http.to_string()});
     words.insert(words.end(), {"--journal", this->journal_of(endpoint)});
     endpoint.standin.process.reset();
-    const std::string binary = endpoint.options.kind == "model" ? "standin-engine" : "standin-service";
+    const std::string of_kind = endpoint.options.kind == "model" ? "standin-engine" : "standin-service";
+    const std::string binary = endpoint.options.standin_program.empty() ? of_kind : endpoint.options.standin_program;
     endpoint.standin.process = this->start(binary, endpoint.options.name + "-standin", words, endpoint.standin);
 }
 
@@ -143,6 +144,13 @@
          << "[platform]\naddress = " << this->platform_program.http.to_string() << "\n"
          << "[peers]\nseeds = " << this->seed_addresses() << "\n"
          << "[log]\nformat = json\n[trace]\nfile = " << this->folder << "/" << name << ".spans.json\n";
+    if (!options.group_settings.empty()) {
+        // A restarted agent has to serve its rank at the same address.
+        const net_address& step_address = endpoint.agent.http;
+        text << "[group]\nstep_address = " << (step_address.port == 0 ? this->any_port : step_address.to_string())
+             << "\n"
+             << options.group_settings;
+    }
     const std::string settings = this->write_file(name + ".ini", text.str());
     endpoint.agent.process = this->start("pomelohoist-agent", name, {"--config", settings}, endpoint.agent);
 }
