--- /dev/null
+++ b/tests/group/scripted_network.cpp
@@ -0,0 +1,116 @@
+#include "group/scripted_network.h"
+
+#include <pomelohoist/config.h>
+
+namespace pomelohoist::test_group {
+
+namespace {
+
+using inner::message_type;
+
+template <class Request, class Reply> inner::payload answer(switch_participant& participant,
+                                                            const inner::packet& request,
+                                                            Reply (switch_participant::*serve)(const Request&)) {
+    return inner::to_payload((participant.*serve)(*inner::decode_body<Request>(request)));
+}
+
+} // namespace
+
+class scripted_network : public group_network {
+  public:
+    scripted_network(scripted_group& members, std::uint32_t own) : group(members), own_rank(own) {}
+
+    std::vector<result<inner::packet>> call_others(const inner::payload& content,
+                                                   std::chrono::milliseconds /*timeout*/) override {
+        std::vector<result<inner::packet>> replies;
+        const inner::packet request{config::protocol_version, content.type, 1, false, "rank-000-agent", content.body};
+        this->group.delivered.push_back(request);
+        const std::size_t request_bytes = inner::encode(request).size();
+        for (std::uint32_t rank = 0; rank < this->group.ranks; ++rank) {
+            if (rank == this->own_rank) {
+                continue;
+            }
+            if (this->group.on_call) {
+                this->group.on_call(rank);
+            }
+            replies.emplace_back(this->call(rank, request, request_bytes));
+        }
+        return replies;
+    }
+
+  private:
+    result<inner::packet> call(std::uint32_t rank, const inner::packet& request, std::size_t request_bytes) {
+        this->group.counts.messages += 1;
+        this->group.counts.bytes += request_bytes;
+        if (this->group.silent.contains(rank)) {
+            return failure{error_kind::timeout, "lost"};
+        }
+        const inner::payload reply = this->group.serve(rank, request);
+        if (this->group.mute.contains(rank)) {
+            return failure{error_kind::timeout, "the reply is lost"};
+        }
+        const inner::packet packed{config::protocol_version, reply.type, 1, true, "rank-000-agent", reply.body};
+        this->group.counts.messages += 1;
+        this->group.counts.bytes += inner::encode(packed).size();
+        return packed;
+    }
+
+    scripted_group& group;
+    std::uint32_t own_rank;
+};
+
+scripted_group::scripted_group(std::uint32_t number_of_ranks, const map_id& first)
+    : ranks(number_of_ranks), runners(number_of_ranks) {
+    for (std::uint32_t rank = 0; rank < this->ranks; ++rank) {
+        this->gates.push_back(std::make_unique<fencing_gate>());
+        this->participants.push_back(
+            std::make_unique<switch_participant>(this->place(rank), this->time, *this->gates.back(), this->contents));
+        this->participants.back()->report({0, std::nullopt});
+    }
+    // The first recoveries meet ranks that have not read the ballots yet, so the rest is done in a second round.
+    for (std::uint32_t i = 0; i < 2 * this->ranks; ++i) {
+        const std::uint32_t rank = i % this->ranks;
+        const auto network = this->network_of(rank);
+        const auto stored = [&first] { return map_start{first, 0}; };
+        switch_recovery{this->place(rank), *this->participants[rank], *network, stored}.run();
+    }
+    this->start_steps();
+    this->counts = {};
+    this->delivered.clear();
+}
+
+std::unique_ptr<group_network> scripted_group::network_of(std::uint32_t rank) {
+    return std::make_unique<scripted_network>(*this, rank);
+}
+
+std::uint32_t scripted_group::start_steps() {
+    std::uint32_t started = 0;
+    for (std::uint32_t rank = 0; rank < this->ranks; ++rank) {
+        started += this->start_step_of(rank) ? 1 : 0;
+    }
+    return started;
+}
+
+bool scripted_group::start_step_of(std::uint32_t rank) {
+    lock_step_rank& runner = this->runners[rank];
+    const auto granted = this->participants[rank]->grant_step({runner.next, runner.running});
+    if (granted) {
+        runner.running = granted;
+        ++runner.next;
+    }
+    return granted.has_value();
+}
+
+inner::payload scripted_group::serve(std::uint32_t rank, const inner::packet& request) {
+    switch_participant& called = *this->participants[rank];
+    switch (request.type) {
+    case message_type::switch_prepare:
+        return answer(called, request, &switch_participant::handle_prepare);
+    case message_type::switch_query:
+        return answer(called, request, &switch_participant::handle_query);
+    default:
+        return answer(called, request, &switch_participant::handle_decision);
+    }
+}
+
+} // namespace pomelohoist::test_group
--- /dev/null
+++ b/tests/group/scripted_network.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "group/group_network.h"
+#include "group/message_soup.h"
+#include "group/switch_recovery.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <set>
+#include <vector>
+
+/// Participants in one process, with calls that a script delays, repeats or drops.
+namespace pomelohoist::test_group {
+
+struct call_counts {
+    std::uint64_t messages{0}; ///< requests and replies
+    std::uint64_t bytes{0};    ///< of their packets
+};
+
+class scripted_group {
+  public:
+    /// @param first map of a cold start
+    explicit scripted_group(std::uint32_t number_of_ranks, const map_id& first = {1, 1});
+
+    /// Calls from one rank to all others. What a rank in `silent` would have got is lost.
+    std::unique_ptr<group_network> network_of(std::uint32_t rank);
+    [[nodiscard]] switch_participant& participant(std::uint32_t rank) { return *this->participants.at(rank); }
+    [[nodiscard]] group_place place(std::uint32_t rank) const { return {"g", rank, this->ranks, rank + 1}; }
+    /// Lets every rank start its next step.
+    /// @returns number of ranks that could
+    std::uint32_t start_steps();
+    /// @returns true when the rank could start its next step
+    bool start_step_of(std::uint32_t rank);
+
+    std::set<std::uint32_t> silent;             ///< neither get calls nor answer them
+    std::set<std::uint32_t> mute;               ///< get calls, but their replies are lost
+    std::function<void(std::uint32_t)> on_call; ///< before a rank gets a call
+    std::vector<inner::packet> delivered;       ///< all calls, so that a test can repeat them
+    call_counts counts;
+
+    inner::payload serve(std::uint32_t rank, const inner::packet& request);
+
+  private:
+    friend class scripted_network;
+
+    std::uint32_t ranks;
+    manual_clock time;
+    any_map contents;
+    std::vector<std::unique_ptr<fencing_gate>> gates;
+    std::vector<std::unique_ptr<switch_participant>> participants;
+    std::vector<lock_step_rank> runners;
+};
+
+} // namespace pomelohoist::test_group
--- /dev/null
+++ b/tests/group/switch_coordinator_test.cpp
@@ -0,0 +1,132 @@
+#include "group/scripted_network.h"
+
+#include "group/map_record.h"
+#include "platform/memory_table.h"
+
+#include <gtest/gtest.h>
+
+namespace pomelohoist::test_group {
+namespace {
+
+constexpr std::uint32_t ranks = 4;
+constexpr std::uint64_t epoch = 1;
+constexpr map_start first_map{{1, 1}, 0};
+constexpr map_start next_map{{2, 2}, 3};
+
+class switch_coordinator_test : public testing::Test {
+  protected:
+    result<done> run_switch(std::uint32_t by = 0, std::uint64_t under = epoch) {
+        const auto network = this->group.network_of(by);
+        return switch_coordinator{this->group.place(by), this->group.participant(by), *network}.run(under, next_map);
+    }
+
+    bool recover(std::uint32_t by) {
+        const auto network = this->group.network_of(by);
+        const auto query = this->group.participant(by).open_recovery();
+        if (!query) {
+            return false;
+        }
+        const auto answers = ask_others<inner::switch_state>(*network, *query, {});
+        const auto decision = this->group.participant(by).close_recovery(query->ballot, answers, {});
+        return decision && !ask_others<inner::switch_state>(*network, *decision, {}).empty();
+    }
+
+    void expect_all(const map_start& map) {
+        for (std::uint32_t rank = 0; rank < ranks; ++rank) {
+            EXPECT_EQ(this->group.participant(rank).in_force(), map) << rank;
+            EXPECT_FALSE(this->group.participant(rank).has_open_promise()) << rank;
+        }
+    }
+
+    scripted_group group{ranks};
+};
+
+TEST_F(switch_coordinator_test, commits_when_all_promise) {
+    expect_all(first_map);
+    EXPECT_TRUE(this->run_switch());
+    expect_all(next_map);
+}
+
+// Guards against a commit without a rank: its order or its vote was lost.
+TEST_F(switch_coordinator_test, aborts_when_a_rank_does_not_answer) {
+    this->group.silent = {2};
+    EXPECT_FALSE(this->run_switch());
+    this->group.silent.clear();
+    expect_all(first_map);
+    this->group.mute = {3};
+    EXPECT_FALSE(this->run_switch());
+    this->group.mute.clear();
+    expect_all(first_map);
+    EXPECT_TRUE(this->run_switch());
+}
+
+// Guards against a rank that never hears the decision: it finds it without the coordinator's help.
+TEST_F(switch_coordinator_test, lost_decision_is_recovered) {
+    int calls = 0;
+    // The order reaches all ranks, the decision nobody.
+    this->group.on_call = [this, &calls](std::uint32_t /*rank*/) {
+        if (++calls == static_cast<int>(ranks)) {
+            this->group.silent = {1, 2, 3};
+        }
+    };
+    EXPECT_TRUE(this->run_switch());
+    this->group.on_call = nullptr;
+    this->group.silent.clear();
+    EXPECT_TRUE(this->group.participant(2).has_open_promise());
+    EXPECT_TRUE(this->recover(2));
+    expect_all(next_map);
+}
+
+// Guards against late copies of all messages of an earlier switch.
+TEST_F(switch_coordinator_test, repeated_messages_change_nothing) {
+    this->group.silent = {1};
+    EXPECT_FALSE(this->run_switch());
+    this->group.silent.clear();
+    EXPECT_TRUE(this->run_switch());
+    const std::vector<inner::packet> copies = this->group.delivered;
+    for (const inner::packet& copy : copies) {
+        for (std::uint32_t rank = 0; rank < ranks; ++rank) {
+            this->group.serve(rank, copy);
+        }
+    }
+    expect_all(next_map);
+}
+
+// Guards against a holder that was paused past its lease, between the votes and its decision, and against its later
+// orders.
+TEST_F(switch_coordinator_test, paused_holder_does_not_decide_after_its_successor) {
+    int calls = 0;
+    this->group.on_call = [this, &calls](std::uint32_t /*rank*/) {
+        // The last vote is on its way when the successor finishes the switch.
+        if (++calls == static_cast<int>(ranks) - 1) {
+            this->group.on_call = nullptr;
+            EXPECT_TRUE(this->recover(1));
+        }
+    };
+    EXPECT_FALSE(this->run_switch());
+    expect_all(first_map);
+    EXPECT_TRUE(this->run_switch(1, epoch + 1));
+    EXPECT_FALSE(this->run_switch(0, epoch));
+    expect_all(next_map);
+}
+
+// Guards against a row that an older holder or an older map overwrites.
+TEST(map_record_test, keeps_the_newest_map_of_the_highest_epoch) {
+    memory_table table;
+    const expert_shape shape{2, 4, 1, 3};
+    map_record record{table, "g", shape};
+    const expert_map first{shape};
+    const expert_map second = *first.with_moves({});
+    const expert_map third = *second.with_moves({});
+    EXPECT_EQ(*record.read(), first);
+    EXPECT_TRUE(record.write(second, 4));
+    EXPECT_EQ(*record.read(), second);
+    EXPECT_FALSE(record.write(third, 3));
+    EXPECT_TRUE(record.write(first, 5));
+    EXPECT_EQ(*record.read(), second);
+    table.faults().set_down(true);
+    EXPECT_FALSE(record.read());
+}
+
+} // namespace
+} // namespace pomelohoist::test_group
