Count tokens by expert slot and space out the observations

A report of all experts is 119 KB for each rank at the design size (58 layers, 256 experts), and the holder read it from 256 ranks every 100 ms. By slot it is some 1 KB with two slots for each rank, and the interval grows by 40 ms with each rank (derived, not measured: 256 ranks, 10 s, about 27 KB/s at the holder).

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -71,6 +71,8 @@
 inline constexpr std::chrono::milliseconds recovery_backoff{150};
 inline constexpr std::chrono::milliseconds recovery_interval{10};
 inline constexpr std::chrono::milliseconds coordinator_interval{100};
+// Bounds what the holder reads: 256 ranks with some 1 KB each in 10 s.
+inline constexpr std::chrono::milliseconds observation_interval_per_rank{40};
 inline constexpr std::chrono::milliseconds lease_renewal_interval{1000};
 inline constexpr std::chrono::milliseconds map_call_timeout{1000};
 inline constexpr std::uint32_t coordinator_candidates = 8; // bounds the reads of the lease row by a large group
--- a/src/group/group_coordinator.cpp
+++ b/src/group/group_coordinator.cpp
@@ -33,7 +33,12 @@
     if (this->planned && this->planned_base != in_force->map) {
         this->planned.reset();
     }
-    const std::vector<inner::step_report> reports = this->parts.measurements.latest();
+    std::vector<inner::step_report> reports;
+    const steady_time now = this->parts.time.now();
+    if (now >= this->next_observation) {
+        this->next_observation = now + config::observation_interval_per_rank * this->place.ranks;
+        reports = this->parts.measurements.latest();
+    }
     const bool is_new = reports.size() == this->place.ranks && reports.front().in_force.map == in_force->map &&
                         reports.front().step != this->observed_step;
     if (is_new) {
@@ -58,10 +63,19 @@
 void group_coordinator::observe(const std::vector<inner::step_report>& reports, const expert_map& in_force) {
     std::vector<double> tokens(in_force.shape().cells(), 0.0);
     std::vector<double> times;
-    for (const inner::step_report& report : reports) {
+    const expert_shape& shape = in_force.shape();
+    // A rank counts by slot, because the counts of all experts of a large group would be a hundred times as many.
+    for (std::uint32_t rank = 0; rank < shape.ranks; ++rank) {
+        const inner::step_report& report = reports[rank];
         times.push_back(report.time_ms);
-        for (std::size_t i = 0; i < std::min(tokens.size(), report.tokens.size()); ++i) {
-            tokens[i] += report.tokens[i];
+        const std::size_t cells = std::size_t{shape.layers} * shape.slots_per_rank;
+        for (std::size_t i = 0; i < std::min(cells, report.tokens.size()); ++i) {
+            const auto layer = static_cast<std::uint32_t>(i / shape.slots_per_rank);
+            const auto slot = static_cast<std::uint32_t>(i % shape.slots_per_rank);
+            const std::uint32_t expert = in_force.expert_at(layer, rank, slot);
+            if (expert != no_expert) {
+                tokens[std::size_t{layer} * shape.experts + expert] += report.tokens[i];
+            }
         }
     }
     this->step_ms = *std::max_element(times.begin(), times.end());
--- a/src/group/group_coordinator.h
+++ b/src/group/group_coordinator.h
@@ -78,6 +78,7 @@
     group_place place;
     coordinator_parts parts;
     std::unique_ptr<expert_balancer> balancer;
+    steady_time next_observation{};
     std::optional<std::uint64_t> observed_step;
     double step_ms{0};
     std::optional<expert_map> planned;
--- a/src/group/step_server.h
+++ b/src/group/step_server.h
@@ -25,9 +25,9 @@
 /// What a rank asks and reports in one call.
 struct rank_call {
     step_request request;
-    bool is_ready{true}; ///< all ranks have started the step before; otherwise the call only reports
-    double time_ms{0};   ///< of the step before
-    std::vector<double> tokens;
+    bool is_ready{true};        ///< all ranks have started the step before; otherwise the call only reports
+    double time_ms{0};          ///< of the step before
+    std::vector<double> tokens; ///< that each expert slot of the rank processed in it, in the order layer, slot
 };
 
 struct rank_answer {
--- a/src/inner/switch_messages.h
+++ b/src/inner/switch_messages.h
@@ -147,7 +147,7 @@
     std::uint64_t step{0};
     map_start in_force;         ///< map of the step
     double time_ms{0};          ///< 0 when the step is not known
-    std::vector<double> tokens; ///< of each expert, as this rank counted them, in the order layer, expert
+    std::vector<double> tokens; ///< that each expert slot of this rank processed, in the order layer, slot
 
     template <class Archive> void serialize(Archive& archive) {
         archive(this->step, this->in_force, this->time_ms, this->tokens);
--- a/standins/rank/lock_step.h
+++ b/standins/rank/lock_step.h
@@ -78,6 +78,8 @@
     bool load_map(const granted_map& wanted);
     void run_step(const granted_map& used);
     [[nodiscard]] std::vector<double> popularity() const;
+    /// @returns tokens of each slot of this rank; the replicas of an expert share its tokens evenly
+    [[nodiscard]] std::vector<double> slot_tokens(const std::vector<double>& popular) const;
     bool pause(std::uint32_t milliseconds);
     exchange send(std::unique_ptr<Poco::Net::HTTPClientSession>& session, const pomelohoist::net_address& target,
                   const std::string& method, const std::string& path, const std::string& body);
