--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -4,6 +4,7 @@
 #include "agent/operator_service.h"
 #include "agent/peer_suspect_publisher.h"
 #include "agent/suspect_learner.h"
+#include "group/group_agent.h"
 
 #include <pomelohoist/config.h>
 
@@ -34,6 +35,7 @@
     std::vector<net_address> seeds;
     bool is_model{true};
     endpoint_rates rates;
+    std::optional<group_settings> group; ///< nothing for an endpoint without a group
 };
 
 agent_settings read_settings(const settings& checked) {
@@ -117,28 +119,41 @@
                   std::unique_ptr<inner::peer_listener> bound, std::unique_ptr<configuration_source> configurations)
         : listener(std::move(bound)), source(std::move(configurations)),
           driver(chosen.is_model ? make_model_driver(chosen.endpoint) : make_service_driver(chosen.endpoint)),
-          orders(make_order_gate()), tickets(context.time, make_incarnation(context.random)),
-          load(context.time, chosen.rates), suspects(context.time),
-          publisher(this->listener->calls(), *this->source, chosen.identity.endpoint_name),
+          tickets(context.time, make_incarnation(context.random)), load(context.time, chosen.rates),
+          suspects(context.time), publisher(this->listener->calls(), *this->source, chosen.identity.endpoint_name),
           learner(*this->source, chosen.identity.name, chosen.identity.endpoint_name, this->suspects),
           monitor(*this->driver, this->suspects, this->publisher,
                   chosen.identity.name + "-" + std::to_string(this->tickets.incarnation()), context.log),
           scheduler(context.time, chosen.rates.slots, this->tickets, this->load, this->suspects, this->monitor),
           answers(context.time), handler({context, this->tickets, this->scheduler, this->answers, *this->driver,
-                                          this->monitor, this->watch, *this->orders, *this->source},
+                                          this->monitor, this->watch, this->orders, *this->source},
                                          chosen.identity, *this->source, this->suspects),
           operators(this->handler, context.metrics), poller(this->monitor, this->learner, this->suspects) {
         if (chosen.http) {
             this->front = std::make_unique<http_front>(*chosen.http, context.time);
             this->front->start(this->operators);
         }
-        this->listener->start(this->handler, this->handler);
+        if (!chosen.group) {
+            this->listener->start(this->handler, this->handler);
+            return;
+        }
+        const member_parts parts{context,      this->listener->calls(), *this->source,
+                                 this->orders, chosen.identity.name,    chosen.platform};
+        this->group = std::make_unique<group_agent>(*chosen.group, chosen.identity.endpoint_name,
+                                                    this->tickets.incarnation(), parts, this->handler, this->handler);
+        this->listener->start(*this->group, *this->group);
     }
 
     /// @returns the addresses for the line that tells that the process is ready
     [[nodiscard]] std::string addresses() const {
-        const std::string inner = "inner=" + this->listener->local_address().to_string();
-        return this->front ? inner + " http=" + this->front->local_address().to_string() : inner;
+        std::string text = "inner=" + this->listener->local_address().to_string();
+        if (this->front) {
+            text += " http=" + this->front->local_address().to_string();
+        }
+        if (this->group) {
+            text += " step=" + this->group->step_address().to_string();
+        }
+        return text;
     }
 
     void stop(const clock& time) {
@@ -163,7 +178,7 @@
     std::unique_ptr<inner::peer_listener> listener;
     std::unique_ptr<configuration_source> source;
     std::unique_ptr<endpoint_driver> driver;
-    std::unique_ptr<order_gate> orders;
+    fencing_gate orders;
     ticket_table tickets;
     load_model load;
     suspect_list suspects;
@@ -177,14 +192,20 @@
     operator_service operators;
     std::unique_ptr<http_front> front;
     health_poller poller;
+    std::unique_ptr<group_agent> group;
 };
 
 class agent_daemon : public daemon {
   public:
-    agent_daemon(agent_settings chosen_settings, const daemon_context& host, source_maker maker)
-        : chosen(std::move(chosen_settings)), context(host), make_source(std::move(maker)) {}
+    agent_daemon(const settings& checked, const daemon_context& host, source_maker maker)
+        : chosen(read_settings(checked)), group(read_group_settings(checked)), context(host),
+          make_source(std::move(maker)) {}
 
     result<std::string> start() override {
+        if (!this->group) {
+            return this->group.last_error();
+        }
+        this->chosen.group = *this->group;
         try {
             auto listener = std::make_unique<inner::peer_listener>(this->chosen.inner, this->chosen.identity.name,
                                                                    this->context.time);
@@ -198,7 +219,8 @@
                 std::make_unique<running_agent>(this->chosen, this->context, std::move(listener), std::move(*source));
             return this->running->addresses();
         } catch (const Poco::Exception& error) {
-            return failure{error_kind::invalid_settings, "the address cannot be bound: " + error.displayText()};
+            return failure{error_kind::invalid_settings,
+                           "inner.address, http.address or group.step_address: " + error.displayText()};
         }
     }
 
@@ -211,6 +233,7 @@
 
   private:
     agent_settings chosen;
+    result<std::optional<group_settings>> group;
     daemon_context context;
     source_maker make_source;
     std::unique_ptr<running_agent> running;
@@ -219,7 +242,7 @@
 } // namespace
 
 settings_schema agent_daemon_factory::schema() const {
-    return {
+    settings_schema schema{
         {"inner.address", setting_type::address, true, "", "address for entries and peers, UDP and TCP", {}},
         {"http.address", setting_type::address, false, "", "address for /healthz, /readyz and /metrics; none: off", {}},
         {"endpoint.name", setting_type::text, true, "", "name of the declared endpoint beside this agent", {}},
@@ -231,10 +254,13 @@
         {"peers.seeds", setting_type::address_list, false, "", "inner addresses of other processes", {}},
         {"platform.address", setting_type::address, true, "", "address of the platform's services", {}},
     };
+    const settings_schema of_group = group_schema();
+    schema.insert(schema.end(), of_group.begin(), of_group.end());
+    return schema;
 }
 
 std::unique_ptr<daemon> agent_daemon_factory::create(const settings& checked, const daemon_context& context) {
-    return std::make_unique<agent_daemon>(read_settings(checked), context, this->make_source);
+    return std::make_unique<agent_daemon>(checked, context, this->make_source);
 }
 
 } // namespace pomelohoist
--- a/src/inner/messages.h
+++ b/src/inner/messages.h
@@ -44,6 +44,10 @@
     suspect_query,
     suspect_state,
     run_progress,
+    map_request,
+    map_reply,
+    step_report_request,
+    step_report,
     count
 };
 
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -24,7 +24,9 @@
     std::string host;   ///< empty: same as the name
     std::string labels; ///< lines "label.KEY = VALUE"
     std::vector<std::string> standin_arguments;
-    std::uint32_t slots{8}; ///< requests at once, as the agent and a model engine are told
+    std::uint32_t slots{8};        ///< requests at once, as the agent and a model engine are told
+    std::string standin_program{}; ///< empty: the one of the kind
+    std::string group_settings{};  ///< rest of [group], and further sections; empty: the agent serves no group
 
     friend bool operator==(const endpoint_options&, const endpoint_options&) = default;
 };
@@ -35,6 +37,7 @@
     std::unique_ptr<child_process> process;
     net_address inner;
     net_address http;
+    net_address step; ///< of an agent that serves a rank
 };
 
 /// An endpoint stand-in and the agent beside it.
