Prefer peers that answer when a new version is announced

Cause: with 2 running processes among 1,400 declared ones a change took over 30 s (target 7 s): announcements went to agents that do not run, and the interval of store polls (28 s) grows with the declared number. Ruled out: leaving absent agents out altogether, since one that comes back must be found; a shorter poll for all, which the store could not carry. Conclusion: the first announcement of a round goes to a process that has answered within a minute, and only processes that are known to run share the polls, at least an eighth of the declared ones. path_benchmark declares loopback addresses now, since processes announce to what is declared.

--- a/src/spread/configuration_spreader.cpp
+++ b/src/spread/configuration_spreader.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+// One in so many known processes is taken to run, if fewer have been heard from.
+constexpr std::size_t min_running_share = 8;
 constexpr std::chrono::milliseconds announce_timeout{150};
 constexpr std::chrono::milliseconds pull_timeout{2000};
 constexpr std::chrono::milliseconds start_retry_interval{200};
@@ -268,6 +270,7 @@
         this->byte_count += packets[i]->body.size();
         replies.push_back(inner::decode_body<inner::announce_reply>(*packets[i]));
         if (replies.back()) {
+            this->peers.note_answer(targets[i]);
             this->request_pull(targets[i], {replies.back()->configuration_version, replies.back()->host_list_version});
         }
     }
@@ -275,8 +278,10 @@
 }
 
 std::chrono::milliseconds configuration_spreader::next_poll_interval() {
-    const double known = static_cast<double>(this->peers.size() + 1);
-    const double mean_ms = known / config::store_polls_per_second * 1000.0;
+    // Only running processes poll. How many run is not known exactly, above all after a start: a process has heard of
+    // at least some, and at most all known ones run.
+    const std::size_t running = std::max(this->peers.responsive(), this->peers.size() / min_running_share) + 1;
+    const double mean_ms = static_cast<double>(running) / config::store_polls_per_second * 1000.0;
     const auto mean =
         std::max(config::min_store_poll_interval, std::chrono::milliseconds{static_cast<std::int64_t>(mean_ms)});
     return std::max(config::min_store_poll_interval, with_jitter(mean, this->services.random));
--- a/src/spread/peer_set.cpp
+++ b/src/spread/peer_set.cpp
@@ -14,6 +14,7 @@
 // At 1,760 processes a process hears from a given other one every few minutes.
 constexpr std::chrono::minutes heard_lifetime{15};
 constexpr std::chrono::seconds rebuild_interval{30};
+constexpr std::chrono::seconds responsive_lifetime{60};
 
 } // namespace
 
@@ -32,6 +33,7 @@
 
 void peer_set::set_declared(const configuration& declared) {
     const std::lock_guard lock{this->mutex};
+    const auto before = this->peers;
     std::erase_if(this->peers, [](const auto& entry) { return entry.second.source == origin::declared; });
     for (const endpoint& each : declared.endpoints()) {
         if (each.agent != this->own) {
@@ -39,6 +41,8 @@
             known_peer& known = this->peers.try_emplace(each.agent, known_peer{"", origin::declared, {}}).first->second;
             known.data_centre = each.data_centre;
             known.source = known.source == origin::heard ? origin::declared : known.source;
+            const auto earlier = before.find(each.agent);
+            known.heard_at = earlier == before.end() ? known.heard_at : earlier->second.heard_at;
         }
     }
     this->rebuild();
@@ -52,16 +56,37 @@
     const steady_time now = this->time.now();
     const auto known = this->peers.find(address);
     if (known != this->peers.end()) {
-        known->second.heard_at = now;
+        this->note_heard(address, known->second);
     } else if (this->peers.size() < max_heard_peers) {
-        this->peers.emplace(address, known_peer{data_centre, origin::heard, now});
+        known_peer& added = this->peers.emplace(address, known_peer{data_centre, origin::heard, {}}).first->second;
         (data_centre == this->centre ? this->near : this->far).push_back(address);
+        this->note_heard(address, added);
     }
     if (now - this->rebuilt_at > rebuild_interval) {
         this->rebuild();
     }
 }
 
+void peer_set::note_answer(const net_address& address) {
+    const std::lock_guard lock{this->mutex};
+    const auto known = this->peers.find(address);
+    if (known != this->peers.end()) {
+        this->note_heard(address, known->second);
+    }
+}
+
+void peer_set::note_heard(const net_address& address, known_peer& known) {
+    const steady_time now = this->time.now();
+    if (!this->is_responsive(known, now)) {
+        (known.data_centre == this->centre ? this->responsive_near : this->responsive_far).push_back(address);
+    }
+    known.heard_at = now;
+}
+
+bool peer_set::is_responsive(const known_peer& known, steady_time now) const {
+    return known.heard_at != steady_time{} && now - known.heard_at < responsive_lifetime;
+}
+
 void peer_set::rebuild() {
     const steady_time now = this->time.now();
     this->rebuilt_at = now;
@@ -70,8 +95,14 @@
     });
     this->near.clear();
     this->far.clear();
+    this->responsive_near.clear();
+    this->responsive_far.clear();
     for (const auto& [address, known] : this->peers) {
-        (known.data_centre == this->centre ? this->near : this->far).push_back(address);
+        const bool is_near = known.data_centre == this->centre;
+        (is_near ? this->near : this->far).push_back(address);
+        if (this->is_responsive(known, now)) {
+            (is_near ? this->responsive_near : this->responsive_far).push_back(address);
+        }
     }
 }
 
@@ -80,6 +111,11 @@
     return this->peers.size();
 }
 
+std::size_t peer_set::responsive() const {
+    const std::lock_guard lock{this->mutex};
+    return this->responsive_near.size() + this->responsive_far.size();
+}
+
 std::vector<net_address> peer_set::all() const {
     const std::lock_guard lock{this->mutex};
     std::vector<net_address> addresses = this->near;
@@ -91,8 +127,13 @@
     const std::lock_guard lock{this->mutex};
     std::vector<net_address> chosen;
     for (std::size_t i = 0; i < number; ++i) {
+        // Many declared processes may be down or not installed yet. One announcement of each round goes to a process
+        // that is known to answer, the others also find those that have come back.
+        const bool wants_responsive = i == 0 && !(this->responsive_near.empty() && this->responsive_far.empty());
+        const auto& close_by = wants_responsive ? this->responsive_near : this->near;
+        const auto& remote = wants_responsive ? this->responsive_far : this->far;
         const bool wants_far = random.next_below(far_one_in) == 0;
-        const auto& group = this->near.empty() || (wants_far && !this->far.empty()) ? this->far : this->near;
+        const auto& group = close_by.empty() || (wants_far && !remote.empty()) ? remote : close_by;
         if (group.empty()) {
             break;
         }
--- a/src/spread/peer_set.h
+++ b/src/spread/peer_set.h
@@ -60,10 +60,15 @@
     void set_declared(const configuration& declared);
     /// Remembers for a while a process that has announced itself.
     void hear_from(const net_address& address, const std::string& data_centre);
+    /// Notes that a known process has answered.
+    void note_answer(const net_address& address);
 
     [[nodiscard]] std::size_t size() const;
+    /// @returns how many processes were heard from or have answered lately
+    [[nodiscard]] std::size_t responsive() const;
     [[nodiscard]] std::vector<net_address> all() const;
-    /// @returns up to `number` random peers; of four, on average three of the own data centre
+    /// @returns up to `number` random peers; of four, on average three of the own data centre. The first one has been
+    /// heard from lately, if there is such a peer
     [[nodiscard]] std::vector<net_address> choose(std::size_t number, random_source& random);
 
   private:
@@ -76,6 +81,8 @@
     };
 
     void rebuild();
+    void note_heard(const net_address& address, known_peer& known);
+    [[nodiscard]] bool is_responsive(const known_peer& known, steady_time now) const;
 
     const clock& time;
     net_address own;
@@ -84,6 +91,8 @@
     std::map<net_address, known_peer, address_order> peers;
     std::vector<net_address> near; ///< of the own data centre
     std::vector<net_address> far;
+    std::vector<net_address> responsive_near;
+    std::vector<net_address> responsive_far;
     steady_time rebuilt_at{};
 };
 
--- a/tests/spread/configuration_spreader_test.cpp
+++ b/tests/spread/configuration_spreader_test.cpp
@@ -125,6 +125,38 @@
     this->measure_propagation("store down after the first", true);
 }
 
+// Guards against a change that takes long because most declared agents do not run: 3 processes among 1,400.
+TEST_F(spread_test, absent_agents_do_not_delay_the_propagation) {
+    constexpr std::size_t running = 3;
+    constexpr std::size_t absent = 1400;
+    constexpr int changes_made = 4;
+    constexpr auto in_force_limit = 7s;
+    this->processes = make_processes(this->platform, running, 7);
+    object_map objects = make_objects(this->processes, 16);
+    for (const auto& [key, fields] : make_example_objects(0, absent)) {
+        if (key.kind == object_kind::endpoint) {
+            object_fields unreachable = fields;
+            // A loopback address on which nothing listens.
+            unreachable.values["agent"] = "127.250.0.1:" + std::to_string(10000 + objects.size());
+            objects.emplace(object_key{key.kind, "absent-" + key.name}, unreachable);
+        }
+    }
+    ASSERT_TRUE(this->store.commit(make_change("first", objects)));
+    for (const auto& process : this->processes) {
+        process->start({this->processes.front()->as_peer()});
+    }
+    for (const auto& process : this->processes) {
+        ASSERT_TRUE(process->source().wait_ready(patience));
+    }
+    for (int i = 0; i < changes_made; ++i) {
+        const std::uint64_t version = this->commit_label("v");
+        const auto begin = std::chrono::steady_clock::now();
+        EXPECT_TRUE(wait_until([&] { return this->all_have(version); }, in_force_limit));
+        const std::chrono::duration<double, std::milli> elapsed = std::chrono::steady_clock::now() - begin;
+        std::cout << "in force at all " << running << " running processes after " << elapsed.count() << " ms\n";
+    }
+}
+
 // Guards against versions that go back on late, repeated or false announcements and replies.
 TEST_F(spread_test, late_and_repeated_announcements_do_not_revert) {
     this->start(3);
--- a/tests/spread/peer_set_test.cpp
+++ b/tests/spread/peer_set_test.cpp
@@ -72,5 +72,27 @@
     EXPECT_EQ(this->peers.all(), std::vector<net_address>{at(8)});
 }
 
+// Guards against announcements that nearly all go to declared processes that do not run.
+TEST_F(peer_set_test, first_choice_of_a_round_answers) {
+    constexpr std::size_t declared_agents = 1000;
+    const auto declared = configuration::build(1, make_example_objects(1, declared_agents));
+    ASSERT_TRUE(declared) << declared.last_error().reason;
+    this->time.advance(1s);
+    this->peers.set_declared(*declared);
+    const net_address running = declared->endpoints().at(7).agent;
+    EXPECT_EQ(this->peers.responsive(), 0U);
+    this->peers.note_answer(running);
+    EXPECT_EQ(this->peers.responsive(), 1U);
+    for (int i = 0; i < 50; ++i) {
+        EXPECT_EQ(this->peers.choose(2, this->random).front(), running);
+    }
+    // A new version must not forget who answers.
+    this->peers.set_declared(*declared);
+    EXPECT_EQ(this->peers.choose(2, this->random).front(), running);
+    this->time.advance(2min);
+    this->peers.set_declared(*declared);
+    EXPECT_EQ(this->peers.responsive(), 0U);
+}
+
 } // namespace
 } // namespace pomelohoist
--- a/tools/capacity/propagation.cpp
+++ b/tools/capacity/propagation.cpp
@@ -175,7 +175,7 @@
     table.add_slope("message bodies sent and received as the caller, by number of processes", "bytes/s", bytes);
     table.add_slope("polls of the store by a process, by number of processes", "1/s", polls);
     const std::string body =
-        inner::encode(inner::announce{{"10.11.12.13", 7000}, "data-centre-11", std::uint64_t{1} << 40U, 1});
+        inner::encode(inner::announce{{"127.11.12.13", 7000}, "data-centre-11", std::uint64_t{1} << 40U, 1});
     const inner::packet sent{1, inner::message_type::announce, 1, false, "endpoint-1000-agent", body};
     const inner::packet back{1,
                              inner::message_type::announce_reply,
--- a/tools/path_benchmark.cpp
+++ b/tools/path_benchmark.cpp
@@ -172,7 +172,7 @@
         text << "[workspace.workspace-" << i << "]\nkey_sha256 = " << digest << "\nlabel.size = small\n";
     }
     for (int i = 0; i < declared_endpoints; ++i) {
-        text << "[endpoint.declared-" << i << "]\nkind = model\nagent = 10.1." << i / 250 << "." << 1 + i % 250
+        text << "[endpoint.declared-" << i << "]\nkind = model\nagent = 127.250." << i / 250 << "." << 1 + i % 250
              << ":7000\ndata_centre = dc-" << i % 22 << "\nhost = host-" << i << "\nserves = model-" << i % 7
              << "\nlabel.pool = drafting-" << i % 7 << "\n";
     }
