Check the range of numbers in settings; count callers that have their answer as served

Cause: the agent took endpoint.slots = 0 and endpoint.token_ms = -4; a caller that closed its connection with the answer in hand was counted as caller_gone. Ruled out: clamping, which hides the mistake. Before: both accepted; a keyed answer's caller was looked at after the send. Conclusion: setting_spec has a lowest value.

--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds health_interval{200};
+constexpr double smallest_rate = 0.001;
 constexpr std::chrono::milliseconds learn_interval{5};
 constexpr std::chrono::milliseconds drain_poll_interval{10};
 
@@ -50,7 +51,7 @@
     }
     read.seeds = checked.address_list("peers.seeds");
     read.is_model = checked.text("endpoint.kind") == "model";
-    read.rates = {static_cast<std::uint32_t>(std::max<std::int64_t>(checked.integer("endpoint.slots"), 1)),
+    read.rates = {static_cast<std::uint32_t>(checked.integer("endpoint.slots")),
                   checked.number("endpoint.prefill_tokens_per_ms"), checked.number("endpoint.token_ms")};
     return read;
 }
@@ -248,9 +249,15 @@
         {"endpoint.name", setting_type::text, true, "", "name of the declared endpoint beside this agent", {}},
         {"endpoint.kind", setting_type::choice, false, "model", "kind of the endpoint", {"model", "service"}},
         {"endpoint.address", setting_type::address, true, "", "HTTP address of the endpoint", {}},
-        {"endpoint.slots", setting_type::integer, false, "8", "requests that the endpoint runs at once", {}},
-        {"endpoint.prefill_tokens_per_ms", setting_type::number, false, "10", "prompt tokens per millisecond", {}},
-        {"endpoint.token_ms", setting_type::number, false, "20", "milliseconds per output token", {}},
+        {"endpoint.slots", setting_type::integer, false, "8", "requests that the endpoint runs at once", {}, 1},
+        {"endpoint.prefill_tokens_per_ms",
+         setting_type::number,
+         false,
+         "10",
+         "prompt tokens per millisecond",
+         {},
+         smallest_rate},
+        {"endpoint.token_ms", setting_type::number, false, "20", "milliseconds per output token", {}, 0},
         {"peers.seeds", setting_type::address_list, false, "", "inner addresses of other processes", {}},
         {"platform.address", setting_type::address, true, "", "address of the platform's services", {}},
     };
--- a/src/common/settings.cpp
+++ b/src/common/settings.cpp
@@ -2,6 +2,8 @@
 
 #include "common/ini_file.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -53,6 +55,15 @@
                        [](const std::string& part) { return net_address::parse(part).has_value(); });
 }
 
+std::string bound_text(const setting_spec& spec) {
+    return spec.lowest ? fmt::format(", at least {}", *spec.lowest) : "";
+}
+
+bool is_in_bounds(const setting_spec& spec, const std::string& value) {
+    const std::optional<double> number = parse_number(value);
+    return number && (!spec.lowest || *number >= *spec.lowest);
+}
+
 std::string allowed_text(const setting_spec& spec) {
     switch (spec.type) {
     case setting_type::address:
@@ -60,9 +71,9 @@
     case setting_type::address_list:
         return "allowed are IP:PORT, separated by commas";
     case setting_type::integer:
-        return "allowed is a whole number";
+        return "allowed is a whole number" + bound_text(spec);
     case setting_type::number:
-        return "allowed is a number";
+        return "allowed is a number" + bound_text(spec);
     case setting_type::duration_ms:
         return "allowed is a whole number of milliseconds, at least 0";
     case setting_type::flag:
@@ -91,9 +102,9 @@
     case setting_type::address_list:
         return is_address_list(value);
     case setting_type::integer:
-        return parse_integer(value).has_value();
+        return parse_integer(value).has_value() && is_in_bounds(spec, value);
     case setting_type::number:
-        return parse_number(value).has_value();
+        return is_in_bounds(spec, value);
     case setting_type::duration_ms:
         return parse_integer(value).value_or(-1) >= 0;
     case setting_type::flag:
--- a/src/common/settings.h
+++ b/src/common/settings.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,7 @@
     std::string default_value;
     std::string description;          ///< one line for docs/operators.md
     std::vector<std::string> allowed; ///< for `choice`
+    std::optional<double> lowest{};   ///< for `integer` and `number`
 
     friend bool operator==(const setting_spec&, const setting_spec&) = default;
 };
--- a/src/entry/claimed_forwarder.cpp
+++ b/src/entry/claimed_forwarder.cpp
@@ -216,13 +216,14 @@
     if (!answer.content_type.empty()) {
         headers.push_back({"Content-Type", answer.content_type});
     }
-    claimed.caller.send_whole({answer.http_status, headers, answer.body});
+    // A caller may close its connection as soon as it has the answer; it counts as gone only if it left before.
     claimed.outcome = {std::nullopt, claimed.caller.is_gone()};
+    claimed.caller.send_whole({answer.http_status, headers, answer.body});
 }
 
 void claimed_forwarder::send_failure(claimed_request& claimed, const request_failure& failed) {
-    claimed.caller.send_failure(failed);
     claimed.outcome = {failed.reason.kind, claimed.caller.is_gone()};
+    claimed.caller.send_failure(failed);
 }
 
 } // namespace pomelohoist
--- a/src/group/group_settings.cpp
+++ b/src/group/group_settings.cpp
@@ -28,10 +28,10 @@
          "",
          "address for the steps of the rank; empty for an endpoint without a group",
          {}},
-        {"group.ranks", setting_type::integer, false, "1", "ranks of the group", {}},
-        {"group.experts", setting_type::integer, false, "1", "experts per layer", {}},
-        {"group.layers", setting_type::integer, false, "1", "layers with experts", {}},
-        {"group.slots_per_rank", setting_type::integer, false, "1", "expert slots of a rank in each layer", {}},
+        {"group.ranks", setting_type::integer, false, "1", "ranks of the group", {}, 1},
+        {"group.experts", setting_type::integer, false, "1", "experts per layer", {}, 1},
+        {"group.layers", setting_type::integer, false, "1", "layers with experts", {}, 1},
+        {"group.slots_per_rank", setting_type::integer, false, "1", "expert slots of a rank in each layer", {}, 1},
     };
     const settings_schema balance = balance_schema();
     schema.insert(schema.end(), balance.begin(), balance.end());
--- a/tests/common/settings_test.cpp
+++ b/tests/common/settings_test.cpp
@@ -55,6 +55,17 @@
     EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 9) << text;
 }
 
+TEST(settings_test, refuses_numbers_below_the_lowest) {
+    const temporary_file file{"[endpoint]\nslots = 0\ntoken_ms = -4\n"};
+    const settings_schema schema{{"endpoint.slots", setting_type::integer, false, "8", "", {}, 1},
+                                 {"endpoint.token_ms", setting_type::number, false, "20", "", {}, 0}};
+    const result<settings> loaded = settings::load(file.path(), schema);
+    ASSERT_FALSE(loaded);
+    EXPECT_THAT(loaded.last_error().reason, HasSubstr("slots: bad value \"0\"; allowed is a whole number, at least 1"));
+    EXPECT_THAT(loaded.last_error().reason, HasSubstr("token_ms: bad value \"-4\"; allowed is a number, at least 0"));
+}
+
+// Guards against a message that hides which file could not be read.
 TEST(settings_test, names_a_file_that_cannot_be_read) {
     const result<settings> loaded = settings::load(
         "/nonexistent/settings.ini", {{"process.name", setting_type::text, true, "", "name of the process", {}}});
