Cut the way to an agent in the fault schedules

Cause: cuts were listed as not tested; a killed agent is not a cut one, whose run goes on unseen. Ruled out: network namespaces, which need rights that a test should not ask for. Before: no cut.

--- a/tests/faults/fault_schedule.cpp
+++ b/tests/faults/fault_schedule.cpp
@@ -22,7 +22,7 @@
 constexpr std::array<const char*, fault_count> names{
     "kill_agent",   "kill_endpoint", "kill_entry", "freeze_agent",   "freeze_endpoint",
     "freeze_entry", "store_down",    "store_slow", "lost_answers",   "drain_endpoint",
-    "host_leaves",  "stop_agent",    "stop_entry", "operators_race",
+    "host_leaves",  "stop_agent",    "stop_entry", "operators_race", "cut_agent",
 };
 
 std::string workspace_digest() {
@@ -106,6 +106,11 @@
     case fault::freeze_entry:
         freeze(*entry.process, random);
         return entry.name;
+    case fault::cut_agent:
+        endpoint.path->set_cut(true);
+        hold(random);
+        endpoint.path->set_cut(false);
+        return endpoint.options.name;
     case fault::stop_agent:
         stop_gracefully(*endpoint.agent.process, endpoint.options.name);
         all.restart_agent(endpoint);
@@ -170,6 +175,9 @@
         all.start_endpoint(
             {"service-" + number, "service", "service-a", "", 0, "dc-" + number, "", desk, {"--delay-ms", "150"}});
     }
+    for (const auto& endpoint : all.endpoints()) {
+        all.add_path(*endpoint);
+    }
     all.start_entry("entry-1", "dc-1");
     all.start_entry("entry-2", "dc-2");
     const std::string declarations = "[workspace.team]\nkey_sha256 = " + workspace_digest() +
@@ -203,7 +211,8 @@
 }
 
 std::string inject(fault kind, deployment& all, std::mt19937_64& random) {
-    const bool is_process_fault = kind <= fault::freeze_entry || kind == fault::stop_agent || kind == fault::stop_entry;
+    const bool is_process_fault = kind <= fault::freeze_entry || kind == fault::stop_agent ||
+                                  kind == fault::stop_entry || kind == fault::cut_agent;
     const std::string where =
         is_process_fault ? inject_process_fault(kind, all, random) : inject_platform_fault(kind, all, random);
     return to_string(kind) + (where.empty() ? "" : "(" + where + ")");
--- a/tests/faults/fault_schedule.h
+++ b/tests/faults/fault_schedule.h
@@ -25,6 +25,7 @@
     stop_agent,
     stop_entry,
     operators_race,
+    cut_agent,
     count
 };
 
--- a/tests/faults/fault_schedule_test.cpp
+++ b/tests/faults/fault_schedule_test.cpp
@@ -26,7 +26,7 @@
 }
 
 /// Faults with the same target class would restart or switch the same thing twice at once.
-enum class fault_target : std::uint8_t { agent, endpoint, entry, store, labels, hosts, count };
+enum class fault_target : std::uint8_t { agent, endpoint, entry, store, labels, hosts, network, count };
 
 fault_target target_of(fault kind) {
     switch (kind) {
@@ -47,6 +47,8 @@
         return fault_target::store;
     case fault::host_leaves:
         return fault_target::hosts;
+    case fault::cut_agent:
+        return fault_target::network;
     default:
         return fault_target::labels;
     }
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -132,6 +132,10 @@
     entry.process = this->start("pomelohoist-entry", name, {"--config", this->entry_settings(name, http)}, entry);
 }
 
+void deployment::add_path(running_endpoint& endpoint) {
+    endpoint.path = std::make_unique<relay>(endpoint.agent.inner.ip, endpoint.agent.inner);
+}
+
 void deployment::restart_agent(running_endpoint& endpoint) {
     endpoint.agent.process.reset();
     this->start_agent(endpoint, endpoint.agent.inner.to_string());
@@ -172,8 +176,9 @@
     for (const auto& endpoint : this->endpoint_programs) {
         const endpoint_options& options = endpoint->options;
         text << "[endpoint." << options.name << "]\nkind = " << options.kind
-             << "\nagent = " << endpoint->agent.inner.to_string() << "\ndata_centre = " << options.data_centre
-             << "\nhost = " << options.host << "\nserves = " << options.serves << "\n";
+             << "\nagent = " << (endpoint->path ? endpoint->path->address() : endpoint->agent.inner).to_string()
+             << "\ndata_centre = " << options.data_centre << "\nhost = " << options.host
+             << "\nserves = " << options.serves << "\n";
         if (!options.group.empty()) {
             text << "group = " << options.group << "\nrank = " << options.rank << "\n";
         }
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -2,6 +2,7 @@
 
 #include "support/child_process.h"
 #include "support/http_client.h"
+#include "support/relay.h"
 
 #include <pomelohoist/types.h>
 
@@ -45,6 +46,7 @@
     endpoint_options options;
     running_program standin;
     running_program agent;
+    std::unique_ptr<relay> path; ///< the way of other processes to the agent, when it can be cut
 };
 
 /// @attention throws std::runtime_error when a program does not start
@@ -57,6 +59,8 @@
     running_program& start_platform(const std::vector<std::string>& arguments = {});
     running_program& start_entry(const std::string& name, const std::string& data_centre = "dc-1");
     running_endpoint& start_endpoint(const endpoint_options& options);
+    /// Puts a path that can be cut before the agent; declarations written later name the path.
+    void add_path(running_endpoint& endpoint);
     /// Starts the agent of an endpoint again, with the same inner address.
     void restart_agent(running_endpoint& endpoint);
     /// Starts an entry again, with the same address for callers.
--- /dev/null
+++ b/tests/support/relay.cpp
@@ -0,0 +1,172 @@
+#include "support/relay.h"
+
+#include "common/listen_socket.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+
+#include <array>
+
+namespace pomelohoist::test_support {
+
+namespace {
+
+constexpr std::size_t buffer_bytes = 65536;
+constexpr long poll_us = 2000;
+constexpr int backlog = 256;
+constexpr int max_bind_attempts = 20;
+
+Poco::Net::SocketAddress to_poco(const net_address& address) {
+    return {address.ip, address.port};
+}
+
+/// Copies bytes until one side closes, then closes the other.
+void copy_bytes(Poco::Net::StreamSocket from, Poco::Net::StreamSocket into) {
+    std::array<char, buffer_bytes> buffer{};
+    try {
+        int count = from.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        while (count > 0) {
+            into.sendBytes(buffer.data(), count);
+            count = from.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        }
+        into.shutdownSend();
+    } catch (const Poco::Exception&) {
+        // A broken side ends the copy; the other side learns it by its own read.
+        return;
+    }
+}
+
+void shut(Poco::Net::StreamSocket& socket) {
+    try {
+        socket.shutdown();
+    } catch (const Poco::Exception&) {
+        // Closed already.
+        return;
+    }
+}
+
+} // namespace
+
+relay::relay(const std::string& ip, const net_address& behind) : target(behind) {
+    this->bind(ip);
+    this->datagram_thread = std::thread{[this] { this->datagram_loop(); }};
+    this->accept_thread = std::thread{[this] { this->accept_loop(); }};
+}
+
+relay::~relay() {
+    this->stopping = true;
+    this->datagram_thread.join();
+    this->accept_thread.join();
+    this->close_connections();
+    for (const auto& open : this->connections) {
+        open->forth.join();
+        open->back.join();
+    }
+}
+
+void relay::bind(const std::string& ip) {
+    for (int attempt = 1;; ++attempt) {
+        this->listener = bind_listener({ip, 0}, backlog);
+        this->bound = {ip, this->listener.address().port()};
+        try {
+            this->datagrams = Poco::Net::DatagramSocket{to_poco(this->bound), false};
+            return;
+        } catch (const Poco::Net::NetException&) {
+            if (attempt == max_bind_attempts) {
+                throw;
+            }
+        }
+    }
+}
+
+void relay::set_cut(bool wanted) {
+    this->cut = wanted;
+    if (wanted) {
+        this->close_connections();
+    }
+}
+
+void relay::close_connections() {
+    const std::lock_guard lock{this->mutex};
+    for (const auto& open : this->connections) {
+        shut(open->caller);
+        shut(open->callee);
+    }
+}
+
+void relay::datagram_loop() {
+    datagram_paths paths;
+    while (!this->stopping) {
+        try {
+            this->pass_requests(paths);
+            this->pass_replies(paths);
+        } catch (const Poco::Exception&) {
+            // The process behind is down: its port answers nothing, as on a real path.
+            continue;
+        }
+    }
+}
+
+void relay::pass_requests(datagram_paths& paths) {
+    std::array<char, buffer_bytes> buffer{};
+    Poco::Timespan wait{0, poll_us};
+    while (this->datagrams.poll(wait, Poco::Net::Socket::SELECT_READ)) {
+        wait = Poco::Timespan{0};
+        Poco::Net::SocketAddress from;
+        const int length = this->datagrams.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), from);
+        if (this->cut) {
+            continue;
+        }
+        auto& path = paths[{from.host().toString(), from.port()}];
+        if (!path) {
+            path = std::make_unique<Poco::Net::DatagramSocket>(Poco::Net::SocketAddress{this->bound.ip, 0}, false);
+        }
+        path->sendTo(buffer.data(), length, to_poco(this->target));
+    }
+}
+
+void relay::pass_replies(datagram_paths& paths) {
+    std::array<char, buffer_bytes> buffer{};
+    for (const auto& [caller, path] : paths) {
+        while (path->poll(Poco::Timespan{0}, Poco::Net::Socket::SELECT_READ)) {
+            Poco::Net::SocketAddress from;
+            const int length = path->receiveFrom(buffer.data(), static_cast<int>(buffer.size()), from);
+            if (!this->cut) {
+                this->datagrams.sendTo(buffer.data(), length, to_poco(caller));
+            }
+        }
+    }
+}
+
+void relay::accept_loop() {
+    while (!this->stopping) {
+        try {
+            if (this->listener.poll(Poco::Timespan{0, poll_us}, Poco::Net::Socket::SELECT_READ)) {
+                this->accept_one();
+            }
+        } catch (const Poco::Exception&) {
+            // The process behind does not accept; the caller's connection is closed.
+            continue;
+        }
+    }
+}
+
+void relay::accept_one() {
+    Poco::Net::StreamSocket caller = this->listener.acceptConnection();
+    if (this->cut) {
+        return;
+    }
+    auto open = std::make_unique<connection>();
+    open->caller = caller;
+    open->callee.connect(to_poco(this->target));
+    open->caller.setNoDelay(true);
+    open->callee.setNoDelay(true);
+    open->forth = std::thread{copy_bytes, open->caller, open->callee};
+    open->back = std::thread{copy_bytes, open->callee, open->caller};
+    const std::lock_guard lock{this->mutex};
+    this->connections.push_back(std::move(open));
+}
+
+} // namespace pomelohoist::test_support
