--- a/include/pomelohoist/types.h
+++ b/include/pomelohoist/types.h
@@ -31,7 +31,7 @@
     /// @returns the address, or nothing if the text has another form
     static std::optional<net_address> parse(std::string_view text);
     template <class Archive> void serialize(Archive& archive) { archive(this->ip, this->port); }
-    friend auto operator<=>(const net_address&, const net_address&) = default;
+    friend auto operator<=>(const net_address&, const net_address&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Permission to run one request once at one incarnation of an agent.
--- a/src/entry/service_gate.cpp
+++ b/src/entry/service_gate.cpp
@@ -1,12 +1,13 @@
 #include "entry/service_gate.h"
 
+#include <thread>
+
 namespace pomelohoist {
 
 bool service_gate::enter() {
     const std::lock_guard lock{this->mutex};
     if (this->closed) {
         ++this->refusals;
-        this->refused.notify_all();
         return false;
     }
     ++this->number;
@@ -31,10 +32,12 @@
 
 void service_gate::wait_quiet(std::chrono::milliseconds quiet, std::chrono::milliseconds limit) {
     std::unique_lock lock{this->mutex};
-    const auto until = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < until) {
+    for (auto waited = quiet; waited <= limit; waited += quiet) {
         const std::uint64_t seen = this->refusals;
-        if (!this->refused.wait_for(lock, quiet, [this, seen] { return this->refusals != seen; })) {
+        lock.unlock();
+        std::this_thread::sleep_for(quiet);
+        lock.lock();
+        if (this->refusals == seen) {
             return;
         }
     }
--- a/src/entry/service_gate.h
+++ b/src/entry/service_gate.h
@@ -27,7 +27,6 @@
     bool closed{false};
     std::uint32_t number{0};
     std::uint64_t refusals{0};
-    std::condition_variable refused;
 };
 
 } // namespace pomelohoist
--- a/src/spread/configuration_spreader.cpp
+++ b/src/spread/configuration_spreader.cpp
@@ -299,12 +299,13 @@
     }
     this->changed.notify_all();
     while (this->sleep_for(this->next_poll_interval())) {
-        this->poll_store();
+        ++this->poll_count;
+        this->take_from_store();
     }
 }
 
-void configuration_spreader::poll_store() {
-    ++this->poll_count;
+// Returns the version that the store names, or nothing when it cannot be read.
+std::optional<std::uint64_t> configuration_spreader::take_from_store() {
     const result<std::uint64_t> head = this->store.read_version();
     if (head && *head > this->state.current()->version()) {
         const result<done> fetched = this->fetch_from_store();
@@ -316,6 +317,7 @@
     if (hosts) {
         this->state.take_hosts(*hosts);
     }
+    return head.value();
 }
 
 result<done> configuration_spreader::fetch_from_store() {
@@ -341,17 +343,7 @@
 }
 
 bool configuration_spreader::try_start() {
-    const result<std::uint64_t> head = this->store.read_version();
-    if (head && *head > this->state.current()->version()) {
-        const result<done> fetched = this->fetch_from_store();
-        if (!fetched) {
-            this->services.log.warn("configuration_fetch_failed", {{"reason", fetched.last_error().reason}});
-        }
-    }
-    const result<host_list_content> hosts = this->services.hosts.read_hosts();
-    if (hosts) {
-        this->state.take_hosts(*hosts);
-    }
+    const std::optional<std::uint64_t> head = this->take_from_store();
     std::vector<net_address> targets;
     for (const peer& seed : this->services.directory.seeds()) {
         targets.push_back(seed.inner);
--- a/src/spread/configuration_spreader.h
+++ b/src/spread/configuration_spreader.h
@@ -106,7 +106,7 @@
     bool try_start();
     std::optional<std::uint64_t> ask_peers(const std::vector<net_address>& targets);
     std::vector<result<inner::announce_reply>> announce_to(const std::vector<net_address>& targets);
-    void poll_store();
+    std::optional<std::uint64_t> take_from_store();
     result<done> fetch_from_store();
     result<done> pull(const net_address& source);
     void request_pull(const net_address& source, const offered_versions& offered);
@@ -127,7 +127,7 @@
     bool stopping{false};
     bool ready{false};
     bool has_news{false}; ///< a version was taken that has not been announced yet
-    std::map<net_address, offered_versions, address_order> wanted_pulls;
+    std::map<net_address, offered_versions> wanted_pulls;
     std::vector<std::thread> threads;
 
     std::atomic<bool> has_large_change{false}; ///< a version was taken whose building left much free memory
--- a/src/spread/peer_set.h
+++ b/src/spread/peer_set.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <mutex>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -25,13 +24,6 @@
     friend bool operator==(const peer&, const peer&) = default;
 };
 
-/// Order of addresses for maps.
-struct address_order {
-    bool operator()(const net_address& left, const net_address& right) const {
-        return std::tie(left.ip, left.port) < std::tie(right.ip, right.port);
-    }
-};
-
 /// Where a process learns of others before it has a configuration.
 class peer_directory {
   public:
@@ -88,7 +80,7 @@
     net_address own;
     std::string centre;
     mutable std::mutex mutex;
-    std::map<net_address, known_peer, address_order> peers;
+    std::map<net_address, known_peer> peers;
     std::vector<net_address> near; ///< of the own data centre
     std::vector<net_address> far;
     std::vector<net_address> responsive_near;
--- a/standins/http_host.h
+++ b/standins/http_host.h
@@ -109,4 +109,15 @@
     return EXIT_SUCCESS;
 }
 
+/// The frame of a stand-in's main function.
+/// @returns the status of `run`, or 2 with a line on standard error when it throws
+inline int run_standin(const std::string& name, const std::function<int()>& run) {
+    try {
+        return run();
+    } catch (const std::exception& error) {
+        std::cerr << name << ": " << error.what() << '\n';
+        return 2;
+    }
+}
+
 } // namespace standin
--- a/standins/rank/standin_rank.cpp
+++ b/standins/rank/standin_rank.cpp
@@ -94,10 +94,5 @@
 } // namespace standin
 
 int main(int argc, char** argv) {
-    try {
-        return standin::run(argc, argv);
-    } catch (const std::exception& error) {
-        std::cerr << "standin-rank: " << error.what() << '\n';
-        return 2;
-    }
+    return standin::run_standin("standin-rank", [=] { return standin::run(argc, argv); });
 }
--- a/standins/service/standin_service.cpp
+++ b/standins/service/standin_service.cpp
@@ -121,10 +121,5 @@
 } // namespace standin
 
 int main(int argc, char** argv) {
-    try {
-        return standin::run(argc, argv);
-    } catch (const std::exception& error) {
-        std::cerr << "standin-service: " << error.what() << '\n';
-        return 2;
-    }
+    return standin::run_standin("standin-service", [=] { return standin::run(argc, argv); });
 }
