--- a/src/spread/configuration_spreader.cpp
+++ b/src/spread/configuration_spreader.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-// One in so many known processes is taken to run, if fewer have been heard from.
-constexpr std::size_t min_running_share = 8;
 constexpr std::chrono::milliseconds announce_timeout{150};
 constexpr std::chrono::milliseconds pull_timeout{2000};
 constexpr std::chrono::milliseconds start_retry_interval{200};
@@ -230,7 +228,12 @@
             }
             this->has_news = false;
         }
-        this->announce_to(this->peers.choose(config::announce_peers, this->services.random));
+        const std::vector<net_address> chosen = this->peers.choose(config::announce_peers, this->services.random);
+        const auto replies = this->announce_to(chosen);
+        // The first choice is a peer that is known to answer; the others are samples of all known ones.
+        for (std::size_t i = 1; i < replies.size(); ++i) {
+            this->peers.note_sample(replies[i].has_value());
+        }
         if (!this->sleep_for(min_announce_interval)) {
             return;
         }
@@ -278,10 +281,8 @@
 }
 
 std::chrono::milliseconds configuration_spreader::next_poll_interval() {
-    // Only running processes poll. How many run is not known exactly, above all after a start: a process has heard of
-    // at least some, and at most all known ones run.
-    const std::size_t running = std::max(this->peers.responsive(), this->peers.size() / min_running_share) + 1;
-    const double mean_ms = static_cast<double>(running) / config::store_polls_per_second * 1000.0;
+    const double mean_ms =
+        static_cast<double>(this->peers.estimate_running() + 1) / config::store_polls_per_second * 1000.0;
     const auto mean =
         std::max(config::min_store_poll_interval, std::chrono::milliseconds{static_cast<std::int64_t>(mean_ms)});
     return std::max(config::min_store_poll_interval, with_jitter(mean, this->services.random));
--- a/src/spread/peer_set.cpp
+++ b/src/spread/peer_set.cpp
@@ -15,11 +15,16 @@
 constexpr std::chrono::minutes heard_lifetime{15};
 constexpr std::chrono::seconds rebuild_interval{30};
 constexpr std::chrono::seconds responsive_lifetime{60};
+// Only running processes poll the store, so the share of known ones that answer sets the interval of polls. A process
+// starts with the lowest share: a short interval at first costs the store little, a long one would delay changes.
+constexpr double min_answering_share = 0.125;
+constexpr double sample_weight = 0.05;
 
 } // namespace
 
 peer_set::peer_set(const clock& time_source, net_address own_address, std::string own_data_centre)
-    : time(time_source), own(std::move(own_address)), centre(std::move(own_data_centre)) {}
+    : time(time_source), own(std::move(own_address)), centre(std::move(own_data_centre)),
+      answering_share(min_answering_share) {}
 
 void peer_set::add_seeds(const std::vector<peer>& seeds) {
     const std::lock_guard lock{this->mutex};
@@ -116,6 +121,20 @@
     return this->responsive_near.size() + this->responsive_far.size();
 }
 
+void peer_set::note_sample(bool has_answered) {
+    const std::lock_guard lock{this->mutex};
+    const double sample = has_answered ? 1.0 : 0.0;
+    this->answering_share += sample_weight * (sample - this->answering_share);
+    this->answering_share = std::max(this->answering_share, min_answering_share);
+}
+
+std::size_t peer_set::estimate_running() const {
+    const std::lock_guard lock{this->mutex};
+    const double share = this->answering_share * static_cast<double>(this->peers.size());
+    const std::size_t heard = this->responsive_near.size() + this->responsive_far.size();
+    return std::max(heard, static_cast<std::size_t>(share));
+}
+
 std::vector<net_address> peer_set::all() const {
     const std::lock_guard lock{this->mutex};
     std::vector<net_address> addresses = this->near;
--- a/src/spread/peer_set.h
+++ b/src/spread/peer_set.h
@@ -58,6 +58,10 @@
     [[nodiscard]] std::size_t size() const;
     /// @returns how many processes were heard from or have answered lately
     [[nodiscard]] std::size_t responsive() const;
+    /// Notes whether a peer that was chosen at random has answered.
+    void note_sample(bool has_answered);
+    /// @returns an estimate of how many of the known processes run
+    [[nodiscard]] std::size_t estimate_running() const;
     [[nodiscard]] std::vector<net_address> all() const;
     /// @returns up to `number` random peers; of four, on average three of the own data centre. The first one has been
     /// heard from lately, if there is such a peer
@@ -86,6 +90,7 @@
     std::vector<net_address> responsive_near;
     std::vector<net_address> responsive_far;
     steady_time rebuilt_at{};
+    double answering_share;
 };
 
 } // namespace pomelohoist
--- a/tests/spread/peer_set_test.cpp
+++ b/tests/spread/peer_set_test.cpp
@@ -94,5 +94,23 @@
     EXPECT_EQ(this->peers.responsive(), 0U);
 }
 
+// Guards against polls of the store that become frequent because a process has heard of a few of many running ones,
+// and against rare polls when most known processes do not run.
+TEST_F(peer_set_test, estimates_the_running_processes_from_samples) {
+    constexpr std::size_t declared_agents = 800;
+    const auto declared = configuration::build(1, make_example_objects(1, declared_agents));
+    ASSERT_TRUE(declared) << declared.last_error().reason;
+    this->peers.set_declared(*declared);
+    EXPECT_EQ(this->peers.estimate_running(), declared_agents / 8);
+    for (int i = 0; i < 200; ++i) {
+        this->peers.note_sample(true);
+    }
+    EXPECT_GE(this->peers.estimate_running(), declared_agents * 99 / 100);
+    for (int i = 0; i < 200; ++i) {
+        this->peers.note_sample(false);
+    }
+    EXPECT_EQ(this->peers.estimate_running(), declared_agents / 8);
+}
+
 } // namespace
 } // namespace pomelohoist
