Share the constants of the stand-ins; always build the operator's platform client

Cause: read-through; three stand-ins defined the same status codes, and the operator's program could be built without its client, which was needed only while the client was missing. Ruled out: a switch in CMake for a program without a client; nobody needs it.

--- a/programs/pomelohoist.cpp
+++ b/programs/pomelohoist.cpp
@@ -1,11 +1,5 @@
 #include "operator/operator_commands.h"
-
-#if __has_include("platform/http_platform.h")
 #include "platform/http_platform.h"
-#define POMELOHOIST_HAS_PLATFORM_CLIENT 1
-#else
-#define POMELOHOIST_HAS_PLATFORM_CLIENT 0
-#endif
 
 #include <cstdlib>
 #include <exception>
@@ -24,7 +18,6 @@
     return static_cast<int>(report.status);
 }
 
-#if POMELOHOIST_HAS_PLATFORM_CLIENT
 command_report run_on_platform(const operator_command& command, status_client& client, random_source& random,
                                const clock& time) {
     const auto platform = make_platform_client(command.platform);
@@ -32,15 +25,6 @@
     platform_declaration_store store{*platform, committer};
     return operator_commands{store, client, random, time}.run(command);
 }
-#else
-command_report run_on_platform(const operator_command& /*command*/, status_client& /*client*/,
-                               random_source& /*random*/, const clock& /*time*/) {
-    command_report report;
-    report.status = operator_status::store_unavailable;
-    report.error = failure{error_kind::store_unavailable, "this build has no client for the platform"};
-    return report;
-}
-#endif
 
 int run(const operator_command& command) {
     const system_clock time;
--- a/standins/engine/standin_engine.cpp
+++ b/standins/engine/standin_engine.cpp
@@ -19,12 +19,6 @@
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
-constexpr const char* json_type = "application/json";
-
 /// A parsed completion request.
 struct completion {
     std::string id;
--- a/standins/http_host.h
+++ b/standins/http_host.h
@@ -27,6 +27,12 @@
 /// HTTP server of a stand-in: one function serves all requests, SIGTERM ends it gracefully.
 namespace standin {
 
+inline constexpr int status_ok = 200;
+inline constexpr int status_bad_request = 400;
+inline constexpr int status_not_found = 404;
+inline constexpr int status_conflict = 409;
+inline constexpr const char* json_type = "application/json";
+
 using http_function = std::function<void(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&)>;
 
 class function_handler : public Poco::Net::HTTPRequestHandler {
--- a/standins/rank/standin_rank.cpp
+++ b/standins/rank/standin_rank.cpp
@@ -13,12 +13,6 @@
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
-constexpr const char* json_type = "application/json";
-
 pomelohoist::net_address parse_address(const json& text) {
     const auto address = pomelohoist::net_address::parse(text.get<std::string>());
     if (!address) {
--- a/standins/service/standin_service.cpp
+++ b/standins/service/standin_service.cpp
@@ -19,10 +19,6 @@
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr const char* json_type = "application/json";
-
 struct service_faults {
     std::uint32_t delay_ms{0};
     std::string crash_marker; ///< a body with this text ends the process with status 1 after the count
