Log when the store stops and starts to answer

Cause: a store outage had no log event; a failed read of the head was dropped silently, so operators saw it only by refused requests. Ruled out: a line for each failed poll, which fills the log during an outage. Before: nothing.

--- a/src/spread/configuration_spreader.cpp
+++ b/src/spread/configuration_spreader.cpp
@@ -308,6 +308,7 @@
 // Returns the version that the store names, or nothing when it cannot be read.
 std::optional<std::uint64_t> configuration_spreader::take_from_store() {
     const result<std::uint64_t> head = this->store.read_version();
+    this->note_store(head.has_value());
     if (head && *head > this->state.current()->version()) {
         const result<done> fetched = this->fetch_from_store();
         if (!fetched) {
@@ -343,6 +344,18 @@
     return done{};
 }
 
+// Logs a change only, since an outage may last for long and every poll fails meanwhile.
+void configuration_spreader::note_store(bool is_reachable) {
+    if (this->store_reachable.exchange(is_reachable) == is_reachable) {
+        return;
+    }
+    if (is_reachable) {
+        this->services.log.info("store_reachable");
+    } else {
+        this->services.log.warn("store_unreachable");
+    }
+}
+
 bool configuration_spreader::try_start() {
     const std::optional<std::uint64_t> head = this->take_from_store();
     std::vector<net_address> targets;
--- a/src/spread/configuration_spreader.h
+++ b/src/spread/configuration_spreader.h
@@ -107,6 +107,7 @@
     std::optional<std::uint64_t> ask_peers(const std::vector<net_address>& targets);
     std::vector<result<inner::announce_reply>> announce_to(const std::vector<net_address>& targets);
     std::optional<std::uint64_t> take_from_store();
+    void note_store(bool is_reachable);
     result<done> fetch_from_store();
     result<done> pull(const net_address& source);
     void request_pull(const net_address& source, const offered_versions& offered);
@@ -131,6 +132,7 @@
     std::vector<std::thread> threads;
 
     std::atomic<bool> has_large_change{false}; ///< a version was taken whose building left much free memory
+    std::atomic<bool> store_reachable{true};
     std::atomic<std::uint64_t> poll_count{0};
     std::atomic<std::uint64_t> pull_count{0};
     std::atomic<std::uint64_t> served_count{0};
