Tighten two checks that could pass for the wrong reason

Cause: the read of the whole change found two. The drain test passed as well when the order stopped all traffic, since it only looked at the drained endpoint. The workload did not count a draft whose first send failed while the callers were being stopped, so the success share could only be too good. Before: see above. Conclusion: no bound changed; both checks are stricter.

--- a/tests/faults/drain_test.cpp
+++ b/tests/faults/drain_test.cpp
@@ -39,6 +39,7 @@
     std::chrono::milliseconds last_start_after(const std::function<void()>& order) {
         const net_address standin = this->all->endpoints().front()->standin.http;
         EXPECT_GT(sum_of(read_counts(standin), "started"), 0U) << "no traffic before the order";
+        const std::uint64_t elsewhere = this->started_elsewhere();
         order();
         const auto ordered = steady::now();
         auto last_change = ordered;
@@ -51,9 +52,15 @@
             }
             std::this_thread::sleep_for(poll_pause);
         }
+        EXPECT_GT(this->started_elsewhere(), elsewhere) << "no traffic is left that could have reached the endpoint";
         return std::chrono::duration_cast<std::chrono::milliseconds>(last_change - ordered);
     }
 
+    /// @returns requests that the model beside the drained one has started
+    std::uint64_t started_elsewhere() {
+        return sum_of(read_counts(this->all->endpoints().at(1)->standin.http), "started");
+    }
+
     void finish() {
         const workload_report report = this->traffic->stop();
         EXPECT_TRUE(report.violations.empty()) << report.violations.front();
--- a/tests/faults/workload.cpp
+++ b/tests/faults/workload.cpp
@@ -158,7 +158,7 @@
         }
         if (whole || this->stopping) {
             const std::lock_guard lock{this->mutex};
-            this->numbers.drafts += whole || send > 0 ? 1 : 0;
+            ++this->numbers.drafts;
             this->numbers.whole_drafts += whole && send == 0 ? 1 : 0;
             return;
         }
