Read the store anew when its history is gone; refuse late requests to a stopping entry

Now a process that begins to read starts from scratch, and a lost history is no failure of the store. Ruled out: slow spread; the versions were in force everywhere within 50 ms of the first read.

--- a/src/direct/direct_daemon.cpp
+++ b/src/direct/direct_daemon.cpp
@@ -83,6 +83,10 @@
         const steady_time last = begin + this->values.duration("process.grace_ms") - config::stop_margin;
         while (this->context.time.now() < last) {
             const bool is_out_of_rotation = this->context.time.now() - begin >= config::rotation_time;
+            if (is_out_of_rotation) {
+                // What comes on kept connections now might not end in time; other entries can still serve it.
+                this->parts->service.refuse_all();
+            }
             if (is_out_of_rotation && this->parts->service.active() == 0) {
                 break;
             }
--- a/src/direct/direct_service.cpp
+++ b/src/direct/direct_service.cpp
@@ -33,6 +33,10 @@
 
 void direct_service::serve(const raw_request& raw, steady_time arrived, answer_sink& sink, caller_watchpoint& caller) {
     const counted_request counted{this->in_progress};
+    if (this->is_refusing) {
+        this->refuse(raw, {error_kind::draining, "the entry stops"}, sink);
+        return;
+    }
     const result<direct_request> request = this->resolver.resolve(raw, arrived, this->parts.random.next());
     if (!request) {
         this->refuse(raw, request.last_error(), sink);
--- a/src/direct/direct_service.h
+++ b/src/direct/direct_service.h
@@ -15,6 +15,8 @@
     /// Answers a request that could not be read as a whole.
     void refuse(const raw_request& raw, const failure& reason, answer_sink& sink);
     [[nodiscard]] std::uint32_t active() const { return this->in_progress; }
+    /// From now on requests are refused: this process stops before they would end.
+    void refuse_all() { this->is_refusing = true; }
 
   private:
     void note(const direct_request& request, const forwarding_outcome& outcome);
@@ -23,6 +25,7 @@
     const shared_view& shared;
     request_resolver resolver;
     std::atomic<std::uint32_t> in_progress{0};
+    std::atomic<bool> is_refusing{false};
 };
 
 } // namespace pomelohoist
--- a/src/direct/store_follower.cpp
+++ b/src/direct/store_follower.cpp
@@ -74,6 +74,9 @@
             this->log.info(must_read ? "store_reading_begun" : "store_reading_ended",
                            {{"age_ms", age ? std::to_string(age->count()) : "none"},
                             {"rank", std::to_string(this->peers.rank_among_live())}});
+            // What this process followed last may lie beyond the history that the store keeps.
+            this->routing_revision.reset();
+            this->endpoints_revision.reset();
         }
         if (!must_read) {
             this->pause(config::view_check_interval);
@@ -112,13 +115,24 @@
     return has_read;
 }
 
+bool store_follower::is_history_gone(const failure& reason, const char* followed) {
+    if (reason.kind != error_kind::stale_configuration) {
+        return false;
+    }
+    // The store answers as it should, so this is no reason to distrust it; everything is read anew.
+    this->calls.add();
+    this->log.info("store_history_gone", {{"followed", followed}});
+    return true;
+}
+
 bool store_follower::read_routing() {
     const result<routing_change> change =
         this->routing_revision ? this->store.follow_routing(*this->routing_revision, config::store_follow_wait)
                                : this->store.read_routing();
     if (!change) {
-        if (change.last_error().kind == error_kind::stale_configuration) {
+        if (this->is_history_gone(change.last_error(), "routing")) {
             this->routing_revision.reset();
+            return this->read_routing();
         }
         this->note(change.last_error(), "read_routing");
         return false;
@@ -142,8 +156,9 @@
     }
     const result<endpoint_changes> changes = this->store.follow_endpoints(*this->endpoints_revision);
     if (!changes) {
-        if (changes.last_error().kind == error_kind::stale_configuration) {
+        if (this->is_history_gone(changes.last_error(), "endpoints")) {
             this->endpoints_revision.reset();
+            return this->read_endpoints();
         }
         this->note(changes.last_error(), "follow_endpoints");
         return false;
--- a/src/direct/store_follower.h
+++ b/src/direct/store_follower.h
@@ -49,6 +49,7 @@
     void publish();
     [[nodiscard]] std::chrono::milliseconds stale_after() const;
     [[nodiscard]] bool is_store_trusted() const;
+    bool is_history_gone(const failure& reason, const char* followed);
     void note(const result<done>& outcome, const char* call);
     void pause(std::chrono::milliseconds duration);
 
