--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -106,9 +106,24 @@
 inline constexpr std::chrono::milliseconds peer_news_interval{400};
 inline constexpr std::chrono::milliseconds peer_silence_limit{1300}; // three intervals
 inline constexpr std::chrono::milliseconds peer_load_lifetime{1300};
+// A process beside a rank needs the declarations for the shape of its group only.
+inline constexpr std::chrono::milliseconds rank_view_stale_time{10000};
+inline constexpr std::chrono::milliseconds rank_news_interval{1000};
+inline constexpr std::chrono::milliseconds rank_silence_limit{3200}; // three intervals
 // Nanoseconds: numbers further apart than this belong to different processes.
 inline constexpr std::uint64_t peer_sequence_window = 1000000;
 
+// Map switches of ranks that take orders. A step takes some 50 ms; arming eight ranks takes some 50 ms.
+inline constexpr std::uint64_t step_lead = 5;
+inline constexpr std::uint64_t max_step_lead = 40; // no version of the product names a step further ahead
+inline constexpr std::uint32_t order_attempts = 5;
+inline constexpr std::uint32_t prepare_checks = 40;
+inline constexpr std::uint32_t prepare_check_ms = 100; // a copy of 24 experts takes 1.2 s
+inline constexpr std::uint32_t arm_retry_ms = 10;
+inline constexpr std::chrono::milliseconds rank_call_timeout{300};
+inline constexpr std::chrono::milliseconds rank_order_timeout{120}; // an engine answers at once, or seconds late
+inline constexpr std::chrono::milliseconds map_interval{300};
+
 // Direct forwarding: requests.
 inline constexpr std::chrono::milliseconds endpoint_connect_timeout{300};
 inline constexpr std::chrono::milliseconds endpoint_avoid_time{1500}; // a stall of a group lasts as long
--- /dev/null
+++ b/src/balance/layer_planner.cpp
@@ -0,0 +1,262 @@
+#include "balance/layer_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <optional>
+
+namespace pomelohoist {
+
+namespace {
+
+// The norm of a high power follows the largest load, and still rewards a change that lowers one of two equal ones.
+constexpr double norm_power = 8.0;
+constexpr std::uint32_t max_changes_for_each_layer = 48;
+
+double eighth_power(double value) {
+    const double square = value * value;
+    const double fourth = square * square;
+    return fourth * fourth;
+}
+
+/// A change of a layer: rank `to` gets an expert of rank `from` in place of `replaced`.
+struct layer_change {
+    std::uint32_t from{0};
+    std::uint32_t from_slot{0};
+    std::uint32_t to{0};
+    std::uint32_t to_slot{0};
+    bool is_swap{false}; ///< rank `from` gets the replaced expert; otherwise both ranks hold the copied one
+    double value{0.0};
+};
+
+class layer_search {
+  public:
+    layer_search(const expert_shape& group, std::span<std::uint32_t> layer_slots, std::span<const double> expert_loads,
+                 const layer_plan_limits& allowed)
+        : shape(group), slots(layer_slots), limits(allowed), original(layer_slots.begin(), layer_slots.end()),
+          loads(expert_loads.begin(), expert_loads.end()), hosts(group.experts), rank_load(group.ranks, 0.0),
+          delta(group.ranks, 0.0) {
+        const double total = std::accumulate(this->loads.begin(), this->loads.end(), 0.0);
+        for (double& load : this->loads) {
+            load = total > 0.0 ? load * group.ranks / total : 0.0;
+        }
+        for (std::uint32_t rank = 0; rank < group.ranks; ++rank) {
+            for (std::uint32_t slot = 0; slot < group.slots_per_rank; ++slot) {
+                if (this->at(rank, slot) != no_expert) {
+                    this->hosts[this->at(rank, slot)].push_back(rank);
+                }
+            }
+        }
+        for (std::uint32_t expert = 0; expert < group.experts; ++expert) {
+            for (const std::uint32_t rank : this->hosts[expert]) {
+                this->rank_load[rank] += this->share(expert);
+            }
+        }
+    }
+
+    void run() {
+        for (std::uint32_t i = 0; i < max_changes_for_each_layer && this->peak() > this->limits.good_enough; ++i) {
+            const std::optional<layer_change> change = this->find();
+            if (!change) {
+                return;
+            }
+            this->apply(*change);
+        }
+    }
+
+    [[nodiscard]] double peak() const { return *std::max_element(this->rank_load.begin(), this->rank_load.end()); }
+
+  private:
+    [[nodiscard]] std::uint32_t& at(std::uint32_t rank, std::uint32_t slot) {
+        return this->slots[std::size_t{rank} * this->shape.slots_per_rank + slot];
+    }
+
+    [[nodiscard]] bool holds(std::uint32_t rank, std::uint32_t expert) const {
+        const std::vector<std::uint32_t>& ranks = this->hosts[expert];
+        return std::find(ranks.begin(), ranks.end(), rank) != ranks.end();
+    }
+
+    [[nodiscard]] bool was_held(std::uint32_t rank, std::uint32_t expert) const {
+        const auto begin = this->original.begin() + static_cast<std::ptrdiff_t>(rank) * this->shape.slots_per_rank;
+        return std::find(begin, begin + this->shape.slots_per_rank, expert) != begin + this->shape.slots_per_rank;
+    }
+
+    /// @returns true when the slot may get the expert within the limit of experts that are new to the rank
+    [[nodiscard]] bool may_add(std::uint32_t rank, std::uint32_t slot, std::uint32_t expert) {
+        if (this->was_held(rank, expert)) {
+            return true;
+        }
+        std::uint32_t added = 1;
+        for (std::uint32_t i = 0; i < this->shape.slots_per_rank; ++i) {
+            const std::uint32_t content = this->at(rank, i);
+            added += i != slot && content != no_expert && !this->was_held(rank, content) ? 1U : 0U;
+        }
+        return added <= this->limits.max_new;
+    }
+
+    /// @returns load of one replica
+    [[nodiscard]] double share(std::uint32_t expert) const {
+        return this->loads[expert] / static_cast<double>(std::max<std::size_t>(this->hosts[expert].size(), 1));
+    }
+
+    void shift(std::uint32_t rank, double load) {
+        if (this->delta[rank] == 0.0) {
+            this->touched.push_back(rank);
+        }
+        this->delta[rank] += load;
+    }
+
+    /// Notes how the loads of the ranks would change.
+    void note_shifts(const layer_change& change) {
+        const std::uint32_t moved = this->at(change.from, change.from_slot);
+        const std::uint32_t replaced = this->at(change.to, change.to_slot);
+        if (change.is_swap) {
+            const double difference = this->share(moved) - this->share(replaced);
+            this->shift(change.from, -difference);
+            this->shift(change.to, difference);
+            return;
+        }
+        const auto replicas = static_cast<double>(this->hosts[moved].size());
+        const double next_share = this->loads[moved] / (replicas + 1.0);
+        for (const std::uint32_t rank : this->hosts[moved]) {
+            this->shift(rank, next_share - this->share(moved));
+        }
+        this->shift(change.to, next_share);
+        if (replaced == no_expert) {
+            return;
+        }
+        const auto others = static_cast<double>(this->hosts[replaced].size()) - 1.0;
+        for (const std::uint32_t rank : this->hosts[replaced]) {
+            this->shift(rank, (rank == change.to ? 0.0 : this->loads[replaced] / others) - this->share(replaced));
+        }
+    }
+
+    /// @returns decrease of the norm of the loads; forgets the noted shifts
+    double take_gain(double before) {
+        double sum = before;
+        for (const std::uint32_t rank : this->touched) {
+            sum += eighth_power(this->rank_load[rank] + this->delta[rank]) - eighth_power(this->rank_load[rank]);
+            this->delta[rank] = 0.0;
+        }
+        this->touched.clear();
+        return std::pow(before, 1.0 / norm_power) - std::pow(std::max(sum, 0.0), 1.0 / norm_power);
+    }
+
+    void replace(std::uint32_t rank, std::uint32_t slot, std::uint32_t expert) {
+        std::uint32_t& content = this->at(rank, slot);
+        if (content != no_expert) {
+            std::vector<std::uint32_t>& ranks = this->hosts[content];
+            ranks.erase(std::find(ranks.begin(), ranks.end(), rank));
+        }
+        content = expert;
+        this->hosts[expert].push_back(rank);
+    }
+
+    void apply(const layer_change& change) {
+        this->note_shifts(change);
+        for (const std::uint32_t rank : this->touched) {
+            this->rank_load[rank] += this->delta[rank];
+            this->delta[rank] = 0.0;
+        }
+        this->touched.clear();
+        const std::uint32_t moved = this->at(change.from, change.from_slot);
+        const std::uint32_t replaced = this->at(change.to, change.to_slot);
+        this->replace(change.to, change.to_slot, moved);
+        if (change.is_swap) {
+            this->replace(change.from, change.from_slot, replaced);
+        }
+    }
+
+    void consider(layer_change change, double before, std::optional<layer_change>& best) {
+        const std::uint32_t moved = this->at(change.from, change.from_slot);
+        const std::uint32_t replaced = this->at(change.to, change.to_slot);
+        double copies = this->was_held(change.to, moved) ? 0.0 : 1.0;
+        copies += change.is_swap && !this->was_held(change.from, replaced) ? 1.0 : 0.0;
+        this->note_shifts(change);
+        change.value = this->take_gain(before) - this->limits.least_gain * copies;
+        if (change.value > (best ? best->value : 0.0)) {
+            best = change;
+        }
+    }
+
+    std::optional<layer_change> find() {
+        const auto from = static_cast<std::uint32_t>(
+            std::max_element(this->rank_load.begin(), this->rank_load.end()) - this->rank_load.begin());
+        double before = 0.0;
+        for (const double load : this->rank_load) {
+            before += eighth_power(load);
+        }
+        std::optional<layer_change> best;
+        for (std::uint32_t to = 0; to < this->shape.ranks; ++to) {
+            if (to == from || this->rank_load[to] >= this->rank_load[from]) {
+                continue;
+            }
+            for (std::uint32_t i = 0; i < this->shape.slots_per_rank; ++i) {
+                const std::uint32_t moved = this->at(from, i);
+                if (moved != no_expert && !this->holds(to, moved)) {
+                    this->search_slots(from, i, to, before, best);
+                }
+            }
+        }
+        return best;
+    }
+
+    /// Looks for a slot of rank `to` for the expert of a slot of the most loaded rank.
+    void search_slots(std::uint32_t from, std::uint32_t from_slot, std::uint32_t to, double before,
+                      std::optional<layer_change>& best) {
+        const std::uint32_t moved = this->at(from, from_slot);
+        for (std::uint32_t j = 0; j < this->shape.slots_per_rank; ++j) {
+            const std::uint32_t present = this->at(to, j);
+            if (!this->may_add(to, j, moved)) {
+                continue;
+            }
+            if (present == no_expert || this->hosts[present].size() > 1) {
+                this->consider({from, from_slot, to, j, false, 0.0}, before, best);
+            }
+            if (present != no_expert && this->share(present) < this->share(moved) && !this->holds(from, present) &&
+                this->may_add(from, from_slot, present)) {
+                this->consider({from, from_slot, to, j, true, 0.0}, before, best);
+            }
+        }
+    }
+
+    expert_shape shape;
+    std::span<std::uint32_t> slots;
+    layer_plan_limits limits;
+    std::vector<std::uint32_t> original;
+    std::vector<double> loads; ///< relative to the mean load of a rank
+    std::vector<std::vector<std::uint32_t>> hosts; ///< ranks of each expert
+    std::vector<double> rank_load;
+    // Scratch space of one evaluation; empty between calls.
+    std::vector<double> delta;
+    std::vector<std::uint32_t> touched;
+};
+
+} // namespace
+
+std::vector<double> layer_peaks(const expert_shape& shape, std::span<const std::uint32_t> slots,
+                                std::span<const double> loads) {
+    std::vector<double> peaks;
+    std::vector<std::uint32_t> copy(slots.begin(), slots.end());
+    for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
+        const layer_search search{
+            shape, std::span{copy}.subspan(layer * shape.slots_per_layer(), shape.slots_per_layer()),
+            loads.subspan(std::size_t{layer} * shape.experts, shape.experts), layer_plan_limits{}};
+        peaks.push_back(search.peak());
+    }
+    return peaks;
+}
+
+std::vector<std::uint32_t> plan_layers(const expert_shape& shape, std::span<const std::uint32_t> slots,
+                                       std::span<const double> loads, const layer_plan_limits& limits) {
+    std::vector<std::uint32_t> planned(slots.begin(), slots.end());
+    for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
+        layer_search search{shape,
+                            std::span{planned}.subspan(layer * shape.slots_per_layer(), shape.slots_per_layer()),
+                            loads.subspan(std::size_t{layer} * shape.experts, shape.experts), limits};
+        search.run();
+    }
+    return planned;
+}
+
+} // namespace pomelohoist
--- a/src/direct/direct_daemon.cpp
+++ b/src/direct/direct_daemon.cpp
@@ -27,9 +27,9 @@
 struct direct_parts {
     direct_parts(const settings& checked, const daemon_context& context, direct_platform& platform)
         : own{checked.text("process.name"), checked.address("inner.address")}, shared(context.time, context.log),
-          board(context.time), store(platform.connect(checked, context.log)),
-          link({own, true, platform.seeds(checked)}, shared, board, context.time, context.log),
-          follower(*store, own, shared, link, context.time, context.log, context.metrics), avoidance(context.time),
+          board(context.time), store(platform.connect_store(checked, context.log)),
+          link({own, true, platform.seeds(checked)}, shared, board, nullptr, context.time, context.log),
+          follower(*store, own, true, shared, link, context.time, context.log, context.metrics), avoidance(context.time),
           budget(read_retry_limits(checked), context.time), connections(context.time),
           places(shared, board, link, avoidance, context.random, context.time),
           forwarding{platform.headers(), places,         connections,  avoidance,   budget,
--- a/src/direct/direct_daemon.h
+++ b/src/direct/direct_daemon.h
@@ -18,7 +18,7 @@
     /// @returns keys of the settings that the platform needs, besides those of the entry
     [[nodiscard]] virtual settings_schema schema() const = 0;
     [[nodiscard]] virtual const header_names& headers() const = 0;
-    virtual std::unique_ptr<control_store> connect(const settings& checked, structured_log& log) = 0;
+    virtual std::unique_ptr<control_store> connect_store(const settings& checked, structured_log& log) = 0;
     /// @returns inner addresses of processes that may answer before any other is known
     [[nodiscard]] virtual std::vector<net_address> seeds(const settings& checked) const = 0;
 };
--- a/src/direct/direct_messages.h
+++ b/src/direct/direct_messages.h
@@ -17,6 +17,16 @@
 /// Messages of direct forwarding between processes. Durations are in milliseconds.
 namespace pomelohoist::inner {
 
+/// The rank of an expert-parallel group that a process runs beside.
+struct rank_note {
+    std::string group;
+    std::uint32_t rank{0};
+    net_address engine; ///< where the rank takes orders
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->group, this->rank, this->engine); }
+    friend bool operator==(const rank_note&, const rank_note&) = default;
+};
+
 /// One-way datagram: who is there, what is in force there, which load it has placed. Sent again and again, so a lost one
 /// needs no answer.
 struct peer_news {
@@ -28,10 +38,11 @@
     std::uint64_t endpoints_revision{0};
     std::int64_t store_age_ms{-1}; ///< since the newest read of the store that the sender knows of; -1 for none
     std::vector<endpoint_load> loads;
+    std::optional<rank_note> beside;
 
     template <class Archive> void serialize(Archive& archive) {
         archive(this->sender, this->is_entry, this->sequence, this->routing_version, this->endpoints_revision,
-                this->store_age_ms, this->loads);
+                this->store_age_ms, this->loads, this->beside);
     }
     friend bool operator==(const peer_news&, const peer_news&) = default;
 };
--- a/src/direct/peer_link.cpp
+++ b/src/direct/peer_link.cpp
@@ -26,9 +26,10 @@
 
 } // namespace
 
-peer_link::peer_link(peer_link_options chosen, shared_view& in_force, load_board& loads, const clock& time_source,
-                     structured_log& process_log)
-    : options(std::move(chosen)), shared(in_force), board(loads), time(time_source), log(process_log),
+peer_link::peer_link(peer_link_options chosen, shared_view& in_force, load_board& loads, inner::stream_handler* other,
+                     const clock& time_source, structured_log& process_log)
+    : options(std::move(chosen)), shared(in_force), board(loads), next_handler(other), time(time_source),
+      log(process_log),
       socket(to_poco(this->options.own.address), true), listener(this->options.own.address),
       // A restarted process must continue above the numbers of the one before it.
       next_sequence(static_cast<std::uint64_t>(this->time.now().time_since_epoch().count())) {}
@@ -85,20 +86,25 @@
     const auto age = this->shared.store_age();
     news.store_age_ms = age ? age->count() : -1;
     news.loads = this->board.own_loads();
+    {
+        const std::lock_guard lock{this->mutex};
+        news.beside = this->rank;
+    }
     return inner::encode(news);
 }
 
-std::vector<net_address> peer_link::targets(bool only_entries) const {
+std::vector<net_address> peer_link::targets(audience told) const {
     const std::lock_guard lock{this->mutex};
     std::vector<net_address> addresses;
-    const steady_time oldest = this->time.now() - config::peer_silence_limit;
     for (const auto& [name, known] : this->peers) {
-        const bool is_live = known.heard_at && *known.heard_at >= oldest;
-        if (!only_entries || (known.is_entry && is_live)) {
+        // One that was silent for long is still told now and then: both sides may have been cut off from each other.
+        const bool may_be_entry = known.is_entry || !known.heard_at;
+        if (told == audience::everyone || (told == audience::entries && may_be_entry) ||
+            (known.is_entry && this->is_live(known))) {
             addresses.push_back(known.address);
         }
     }
-    if (!only_entries) {
+    if (told == audience::everyone) {
         for (const net_address& seed : this->options.seeds) {
             if (seed != this->options.own.address &&
                 std::find(addresses.begin(), addresses.end(), seed) == addresses.end()) {
@@ -121,28 +127,59 @@
 }
 
 void peer_link::announce() {
-    this->send_to(this->make_news(), this->targets(false));
+    this->send_to(this->make_news(), this->targets(audience::everyone));
 }
 
 void peer_link::announce_load() {
-    this->send_to(this->make_news(), this->targets(true));
+    this->send_to(this->make_news(), this->targets(audience::live_entries));
 }
 
 std::uint32_t peer_link::rank_among_live() const {
     const std::lock_guard lock{this->mutex};
-    const steady_time oldest = this->time.now() - config::peer_silence_limit;
-    std::uint32_t rank = 0;
+    std::uint32_t before = 0;
     for (const auto& [name, known] : this->peers) {
-        rank += known.is_entry && name < this->options.own.name && known.heard_at && *known.heard_at >= oldest ? 1U : 0U;
+        before += known.is_entry && name < this->options.own.name && this->is_live(known) ? 1U : 0U;
     }
-    return rank;
+    return before;
+}
+
+bool peer_link::is_live(const peer& known) const {
+    const auto limit = known.is_entry ? config::peer_silence_limit : config::rank_silence_limit;
+    return known.heard_at && this->time.now() - *known.heard_at <= limit;
+}
+
+void peer_link::set_rank(const std::optional<inner::rank_note>& own_rank) {
+    const std::lock_guard lock{this->mutex};
+    this->rank = own_rank;
+}
+
+std::vector<group_peer> peer_link::group_peers(const std::string& group) const {
+    const std::lock_guard lock{this->mutex};
+    std::vector<group_peer> members;
+    for (const auto& [name, known] : this->peers) {
+        if (known.beside && known.beside->group == group && this->is_live(known)) {
+            members.push_back({name, known.address, known.beside->rank, known.beside->engine});
+        }
+    }
+    return members;
 }
 
 void peer_link::announce_loop() {
+    // Entries hear of each other often, since they place requests by each other's load. Processes beside ranks are told
+    // when there is news, and tell the others where they are.
+    const auto interval = this->options.is_entry ? config::peer_news_interval : config::rank_news_interval;
+    this->announce();
     while (!this->stopping) {
-        this->announce();
-        std::unique_lock lock{this->mutex};
-        this->changed.wait_for(lock, config::peer_news_interval, [this] { return this->stopping.load(); });
+        {
+            std::unique_lock lock{this->mutex};
+            this->changed.wait_for(lock, interval, [this] { return this->stopping.load(); });
+        }
+        const bool knows_all = this->shared.current().routing != nullptr;
+        if (this->options.is_entry && knows_all) {
+            this->send_to(this->make_news(), this->targets(audience::entries));
+        } else {
+            this->announce();
+        }
     }
 }
 
@@ -181,7 +218,7 @@
             known.sequence - news.sequence < config::peer_sequence_window) {
             return;
         }
-        known = {from, news.is_entry, news.sequence, this->time.now()};
+        known = {from, news.is_entry, news.sequence, this->time.now(), news.beside};
     }
     this->board.take_peer_load(news.sender, news.loads);
     const view seen = this->shared.current();
@@ -247,6 +284,10 @@
 }
 
 void peer_link::handle_stream(const inner::packet& first, inner::frame_channel& channel) {
+    if (first.type != inner::view_request::type && this->next_handler != nullptr) {
+        this->next_handler->handle_stream(first, channel);
+        return;
+    }
     const result<inner::view_request> request = inner::decode_body<inner::view_request>(first);
     if (!request) {
         static_cast<void>(channel.send(inner::failure_reply{request.last_error().kind, request.last_error().reason}));
--- a/src/direct/peer_link.h
+++ b/src/direct/peer_link.h
@@ -33,14 +33,25 @@
     friend bool operator==(const peer_link_options&, const peer_link_options&) = default;
 };
 
+/// A live process beside a rank of a group.
+struct group_peer {
+    std::string name;
+    net_address address; ///< of the process
+    std::uint32_t rank{0};
+    net_address engine;
+
+    friend bool operator==(const group_peer&, const group_peer&) = default;
+};
+
 /// Tells all known processes what is in force here, and pulls what is newer elsewhere. Each process therefore hears of a
 /// change that any of them has read from the store, also while the store refuses this one.
 class peer_link : public inner::stream_handler {
   public:
     /// Binds the sockets.
     /// @attention throws Poco::Net::NetException when the address cannot be bound
-    peer_link(peer_link_options chosen, shared_view& in_force, load_board& loads, const clock& time_source,
-              structured_log& process_log);
+    /// @param other takes the streams that are not about views; may be null
+    peer_link(peer_link_options chosen, shared_view& in_force, load_board& loads, inner::stream_handler* other,
+              const clock& time_source, structured_log& process_log);
     ~peer_link() override;
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
@@ -54,15 +65,22 @@
     void announce();
     /// Tells the other entries at once that this entry's load has changed.
     void announce_load();
+    /// Tells the others which rank this process runs beside.
+    void set_rank(const std::optional<inner::rank_note>& own_rank);
+    /// @returns the live processes beside the ranks of the group, this one not included
+    [[nodiscard]] std::vector<group_peer> group_peers(const std::string& group) const;
     /// @returns how many live processes have a smaller name than this one; the first ones read the store
     [[nodiscard]] std::uint32_t rank_among_live() const;
 
   private:
+    enum class audience : std::uint8_t { live_entries, entries, everyone, count };
+
     struct peer {
         net_address address;
         bool is_entry{false};
         std::uint64_t sequence{0};
         std::optional<steady_time> heard_at;
+        std::optional<inner::rank_note> beside;
     };
 
     void handle_stream(const inner::packet& first, inner::frame_channel& channel) override;
@@ -74,11 +92,13 @@
     void pull_from(const net_address& from);
     [[nodiscard]] std::string make_news();
     void send_to(const std::string& bytes, const std::vector<net_address>& targets);
-    [[nodiscard]] std::vector<net_address> targets(bool only_entries) const;
+    [[nodiscard]] std::vector<net_address> targets(audience told) const;
+    [[nodiscard]] bool is_live(const peer& known) const;
 
     peer_link_options options;
     shared_view& shared;
     load_board& board;
+    inner::stream_handler* next_handler;
     const clock& time;
     structured_log& log;
     Poco::Net::DatagramSocket socket;
@@ -90,6 +110,7 @@
     std::condition_variable changed;
     std::map<std::string, peer> peers;
     std::deque<net_address> pulls;
+    std::optional<inner::rank_note> rank;
     std::vector<std::thread> threads;
 };
 
--- a/src/direct/store_follower.cpp
+++ b/src/direct/store_follower.cpp
@@ -7,9 +7,10 @@
 
 namespace pomelohoist {
 
-store_follower::store_follower(control_store& platform, peer_record own, shared_view& in_force, peer_link& link,
-                               const clock& time_source, structured_log& process_log, metrics_registry& metrics)
-    : store(platform), self(std::move(own)), shared(in_force), peers(link), time(time_source), log(process_log),
+store_follower::store_follower(control_store& platform, peer_record own, bool may_lead, shared_view& in_force,
+                               peer_link& link, const clock& time_source, structured_log& process_log,
+                               metrics_registry& metrics)
+    : store(platform), self(std::move(own)), is_entry(may_lead), shared(in_force), peers(link), time(time_source), log(process_log),
       calls(metrics.get_counter("store_calls_total")), failures(metrics.get_counter("store_failures_total")) {}
 
 store_follower::~store_follower() {
@@ -54,6 +55,9 @@
 }
 
 std::chrono::milliseconds store_follower::stale_after() const {
+    if (!this->is_entry) {
+        return config::rank_view_stale_time;
+    }
     return config::view_stale_time + config::view_stale_step * std::min(this->peers.rank_among_live(),
                                                                         config::view_stale_ranks);
 }
@@ -62,13 +66,13 @@
     while (!this->stopping) {
         const auto age = this->shared.store_age();
         const bool knows_all = this->shared.current().routing && this->shared.current().endpoints;
-        const bool is_first = this->peers.rank_among_live() == 0;
+        const bool is_first = this->is_entry && this->peers.rank_among_live() == 0;
         if (!this->is_registered) {
             this->join();
         }
         // A reader goes on until a process before it reads; the others wait until their news are stale.
-        const bool is_stale = !age || *age > this->stale_after();
-        const bool must_read = is_first || is_stale || !knows_all;
+        const bool is_stale = age ? *age > this->stale_after() : this->is_entry;
+        const bool must_read = is_first || is_stale || (this->is_entry && !knows_all);
         if (must_read != this->is_reading) {
             this->is_reading = must_read;
             this->log.info(must_read ? "store_reading_begun" : "store_reading_ended",
@@ -79,13 +83,13 @@
             this->endpoints_revision.reset();
         }
         if (!must_read) {
-            this->pause(config::view_check_interval);
+            this->pause(this->is_entry ? config::view_check_interval : config::rank_news_interval);
             continue;
         }
         if (!this->read_changes()) {
             // The first ones try often; more of them would only add load to a store in trouble.
             const bool is_near = this->peers.rank_among_live() < config::store_eager_ranks;
-            this->pause(is_near ? config::store_retry_interval : config::store_patient_interval);
+            this->pause(this->is_entry && is_near ? config::store_retry_interval : config::store_patient_interval);
         }
     }
 }
--- a/src/direct/store_follower.h
+++ b/src/direct/store_follower.h
@@ -24,7 +24,8 @@
 /// off or is refused by the store is replaced within the time in which a change must be in force.
 class store_follower {
   public:
-    store_follower(control_store& platform, peer_record own, shared_view& in_force, peer_link& link,
+    /// @param may_lead false for processes that only read the store when no entry tells them anything
+    store_follower(control_store& platform, peer_record own, bool may_lead, shared_view& in_force, peer_link& link,
                    const clock& time_source, structured_log& process_log, metrics_registry& metrics);
     ~store_follower();
     store_follower(const store_follower&) = delete;
@@ -55,6 +56,7 @@
 
     control_store& store;
     peer_record self;
+    bool is_entry;
     shared_view& shared;
     peer_link& peers;
     const clock& time;
--- a/src/inner/messages.h
+++ b/src/inner/messages.h
@@ -51,6 +51,10 @@
     peer_news,
     view_request,
     view_reply,
+    rank_query,
+    rank_report,
+    rank_order_request,
+    rank_order_reply,
     count
 };
 
--- /dev/null
+++ b/src/ranks/map_coordinator.cpp
@@ -0,0 +1,140 @@
+#include "ranks/map_coordinator.h"
+
+#include "balance/layer_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+double mean_of(const std::vector<double>& values) {
+    return std::accumulate(values.begin(), values.end(), 0.0) / static_cast<double>(std::max<std::size_t>(values.size(), 1));
+}
+
+std::string rounded(double value) {
+    constexpr double hundredths = 100.0;
+    return std::to_string(std::lround(value * hundredths)) + "%";
+}
+
+} // namespace
+
+map_coordinator::map_coordinator(rank_group& controlled, map_switcher& switching, const expert_shape& group_shape,
+                                 const map_policy& tunables, const clock& time_source, structured_log& process_log,
+                                 metrics_registry& metrics)
+    : group(controlled), switcher(switching), shape(group_shape), policy(tunables), time(time_source),
+      log(process_log), switches(metrics.get_counter("map_switches_total")), loads(group_shape.cells(), 0.0) {}
+
+bool map_coordinator::run_once() {
+    const std::optional<std::vector<rank_state>> states = this->switcher.read_states();
+    if (!states) {
+        this->observed_at.reset();
+        return true;
+    }
+    if (states->front().epoch != this->epoch) {
+        this->epoch = states->front().epoch;
+        this->slots_in_force.clear();
+        this->last_counts.clear();
+        this->observed_at.reset();
+    }
+    const bool is_free = this->switcher.settle(*states);
+    if (!this->observe(*states) || !is_free) {
+        return true;
+    }
+    const std::optional<std::vector<std::uint32_t>> planned =
+        this->learn_slots(*states) ? this->plan() : std::nullopt;
+    if (!planned) {
+        return true;
+    }
+    const map_switcher::outcome outcome = this->switcher.switch_to(*states, this->shape, *planned);
+    if (outcome == map_switcher::outcome::switched) {
+        this->switches.add();
+        this->slots_in_force = *planned;
+        this->version_in_force = this->switcher.switched_version();
+    }
+    return outcome != map_switcher::outcome::fenced;
+}
+
+bool map_coordinator::observe(const std::vector<rank_state>& states) {
+    std::vector<double> chosen(this->shape.cells(), 0.0);
+    std::vector<std::vector<std::uint64_t>> counts;
+    for (std::uint32_t i = 0; i < states.size(); ++i) {
+        result<std::vector<std::uint64_t>> read = this->group.rank(i).read_counts();
+        if (!read || read->size() != this->shape.cells()) {
+            return false;
+        }
+        counts.push_back(std::move(*read));
+    }
+    const bool has_last = this->last_counts.size() == counts.size();
+    for (std::size_t i = 0; has_last && i < counts.size(); ++i) {
+        for (std::size_t cell = 0; cell < chosen.size(); ++cell) {
+            // A rank that has started anew counts from zero.
+            const std::uint64_t before = counts[i][cell] >= this->last_counts[i][cell] ? this->last_counts[i][cell] : 0;
+            chosen[cell] += static_cast<double>(counts[i][cell] - before);
+        }
+    }
+    this->last_counts = std::move(counts);
+    const steady_time now = this->time.now();
+    const double elapsed =
+        this->observed_at ? std::chrono::duration<double>(now - *this->observed_at).count() : 0.0;
+    this->observed_at = now;
+    if (!has_last || elapsed <= 0.0) {
+        return false;
+    }
+    const double keep = std::exp(-elapsed / this->policy.window_s);
+    for (std::size_t cell = 0; cell < chosen.size(); ++cell) {
+        this->loads[cell] = this->loads[cell] * keep + chosen[cell];
+    }
+    return std::accumulate(this->loads.begin(), this->loads.end(), 0.0) > 0.0;
+}
+
+bool map_coordinator::learn_slots(const std::vector<rank_state>& states) {
+    const std::uint64_t version = states.front().map_version;
+    if (!std::all_of(states.begin(), states.end(),
+                     [version](const rank_state& state) { return state.map_version == version; })) {
+        return false; // between arming and the step; the next round sees one version
+    }
+    if (!this->slots_in_force.empty() && version == this->version_in_force) {
+        return true;
+    }
+    std::vector<std::uint32_t> slots(this->shape.slots(), no_expert);
+    for (std::uint32_t rank = 0; rank < this->shape.ranks; ++rank) {
+        const result<rank_experts> held = this->group.rank(rank).read_experts();
+        if (!held || held->map_version != version || held->by_layer.size() != this->shape.layers) {
+            return false;
+        }
+        for (std::uint32_t layer = 0; layer < this->shape.layers; ++layer) {
+            const std::vector<std::uint32_t>& experts = held->by_layer[layer];
+            if (experts.size() > this->shape.slots_per_rank) {
+                return false;
+            }
+            std::copy(experts.begin(), experts.end(),
+                      slots.begin() + static_cast<std::ptrdiff_t>(layer * this->shape.slots_per_layer() +
+                                                                  std::size_t{rank} * this->shape.slots_per_rank));
+        }
+    }
+    this->slots_in_force = std::move(slots);
+    this->version_in_force = version;
+    return true;
+}
+
+std::optional<std::vector<std::uint32_t>> map_coordinator::plan() const {
+    const std::vector<std::uint32_t>& slots = this->slots_in_force;
+    const layer_plan_limits limits{this->policy.max_new, this->policy.least_gain, this->policy.good_enough};
+    std::vector<std::uint32_t> planned = plan_layers(this->shape, slots, this->loads, limits);
+    const double before = mean_of(layer_peaks(this->shape, slots, this->loads));
+    const double after = mean_of(layer_peaks(this->shape, planned, this->loads));
+    if (before - after < this->policy.switch_gain) {
+        return std::nullopt;
+    }
+    this->log.info("map_planned", {{"epoch", std::to_string(this->epoch)},
+                                   {"peak_before", rounded(before)},
+                                   {"peak_after", rounded(after)},
+                                   {"version", std::to_string(this->version_in_force)}});
+    return planned;
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/ranks/map_coordinator.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "common/log.h"
+#include "common/metrics.h"
+#include "ranks/map_switcher.h"
+
+#include <pomelohoist/clock.h>
+#include <pomelohoist/expert_balance.h>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+/// Keeps the expert map of one group close to the demand.
+namespace pomelohoist {
+
+struct map_policy {
+    double window_s{1.0};        ///< averaging time of the experts' loads
+    double least_gain{0.004};    ///< see `layer_plan_limits`
+    double good_enough{1.06};    ///< see `layer_plan_limits`
+    double switch_gain{0.03};    ///< decrease of the mean peak that a switch must bring
+    std::uint32_t max_new{0};    ///< see `layer_plan_limits`
+
+    friend bool operator==(const map_policy&, const map_policy&) = default;
+};
+
+/// Answers drifting popularity of experts: reads the counts of all ranks, and switches when the plan saves enough.
+/// @attention used by one thread
+class map_coordinator {
+  public:
+    map_coordinator(rank_group& controlled, map_switcher& switches, const expert_shape& group_shape,
+                    const map_policy& tunables, const clock& time_source, structured_log& process_log,
+                    metrics_registry& metrics);
+
+    /// One round: read, settle, plan, switch.
+    /// @returns false when another coordinator has taken over
+    bool run_once();
+
+  private:
+    bool observe(const std::vector<rank_state>& states);
+    /// Learns the map in force from the ranks, unless this process has switched to it.
+    bool learn_slots(const std::vector<rank_state>& states);
+    [[nodiscard]] std::optional<std::vector<std::uint32_t>> plan() const;
+
+    rank_group& group;
+    map_switcher& switcher;
+    expert_shape shape;
+    map_policy policy;
+    const clock& time;
+    structured_log& log;
+    counter& switches;
+    std::uint64_t epoch{0};
+    std::vector<std::vector<std::uint64_t>> last_counts; ///< of each rank
+    std::vector<double> loads;                           ///< expected tokens, in the order layer, expert
+    std::optional<steady_time> observed_at;
+    std::vector<std::uint32_t> slots_in_force; ///< empty while unknown
+    std::uint64_t version_in_force{0};
+};
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/ranks/map_switcher.cpp
@@ -0,0 +1,275 @@
+#include "ranks/map_switcher.h"
+
+#include <pomelohoist/config.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+std::optional<held_step> find_hold(const std::vector<rank_state>& states) {
+    for (const rank_state& state : states) {
+        if (state.held_step) {
+            return held_step{state.rank, *state.held_step};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<armed_switch> find_armed(const std::vector<rank_state>& states) {
+    for (const rank_state& state : states) {
+        if (state.armed) {
+            return state.armed;
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint64_t last_step(const std::vector<rank_state>& states) {
+    std::uint64_t step = 0;
+    for (const rank_state& state : states) {
+        step = std::max(step, state.step);
+    }
+    return step;
+}
+
+} // namespace
+
+map_switcher::map_switcher(rank_group& controlled, pause_source& waits, structured_log& process_log)
+    : group(controlled), waiter(waits), log(process_log) {}
+
+void map_switcher::take_over(std::uint64_t fencing_token) {
+    this->token = fencing_token;
+    this->must_learn_steps = true;
+    this->last_switched = 0;
+}
+
+std::optional<std::vector<rank_state>> map_switcher::read_states() {
+    std::vector<rank_state> states;
+    for (std::uint32_t i = 0; i < this->group.size(); ++i) {
+        result<rank_state> state = this->group.rank(i).read_state();
+        if (!state || !state->is_open || state->rank != i || state->ranks != this->group.size() ||
+            (!states.empty() && states.front().epoch != state->epoch)) {
+            return std::nullopt;
+        }
+        states.push_back(std::move(*state));
+    }
+    if (!states.empty()) {
+        this->note_epoch(states);
+    }
+    return states;
+}
+
+std::optional<std::vector<rank_state>> map_switcher::read_states(std::uint64_t epoch) {
+    std::optional<std::vector<rank_state>> states = this->read_states();
+    return states && !states->empty() && states->front().epoch == epoch ? states : std::nullopt;
+}
+
+void map_switcher::note_epoch(const std::vector<rank_state>& states) {
+    if (states.front().epoch != this->seen_epoch) {
+        this->seen_epoch = states.front().epoch;
+        this->must_learn_steps = true;
+        this->last_switched = 0;
+        this->highest_version = 0;
+    }
+    for (const rank_state& state : states) {
+        this->highest_version = std::max({this->highest_version, state.map_version, state.prepared_version});
+    }
+    if (this->must_learn_steps) {
+        // An earlier coordinator names steps at most this far ahead.
+        this->named_until = last_step(states) + config::max_step_lead;
+        this->must_learn_steps = false;
+    }
+}
+
+bool map_switcher::is_past_named_steps(const std::vector<rank_state>& states) const {
+    return last_step(states) > this->named_until;
+}
+
+void map_switcher::name_step(std::uint64_t step) {
+    this->named_until = std::max(this->named_until, step);
+}
+
+rank_order map_switcher::order_of(rank_order_kind kind, std::uint64_t epoch, const armed_switch& wanted) const {
+    rank_order order;
+    order.kind = kind;
+    order.epoch = epoch;
+    order.fence = this->token;
+    order.version = wanted.version;
+    order.step = wanted.step;
+    return order;
+}
+
+order_outcome map_switcher::give(std::uint32_t rank, const rank_order& order) {
+    const order_outcome outcome = this->group.rank(rank).give(order);
+    if (outcome == order_outcome::fenced) {
+        this->log.warn("rank_order_fenced", {{"rank", std::to_string(rank)}, {"fence", std::to_string(this->token)}});
+    }
+    return outcome;
+}
+
+bool map_switcher::settle(const std::vector<rank_state>& states) {
+    const std::optional<armed_switch> armed = find_armed(states);
+    const auto held = find_hold(states);
+    if (!armed && !held) {
+        return this->is_past_named_steps(states);
+    }
+    const std::uint64_t epoch = states.front().epoch;
+    const std::uint64_t prepared = states.front().prepared_version;
+    const bool all_prepared = prepared != 0 && std::all_of(states.begin(), states.end(), [prepared](const auto& state) {
+        return state.prepared_version == prepared;
+    });
+    if (armed) {
+        this->log.info("map_switch_resumed", {{"version", std::to_string(armed->version)},
+                                              {"step", std::to_string(armed->step)}});
+        // A hold at another step is a stray one; it may end as soon as all ranks are armed, too.
+        this->complete(epoch, *armed, held.value_or(held_step{0, armed->step}));
+    } else if (all_prepared) {
+        // Some rank may have got an order to arm that is not carried out yet, so the hold must not end without it.
+        this->log.info("map_switch_resumed", {{"version", std::to_string(prepared)},
+                                              {"step", std::to_string(held->step)}});
+        this->complete(epoch, {prepared, held->step}, *held);
+    } else {
+        // Ranks are armed only after all were prepared, so nobody has ordered a switch at this step.
+        this->log.info("stray_hold_released", {{"step", std::to_string(held->step)}});
+        this->release(epoch, *held);
+    }
+    return false;
+}
+
+map_switcher::outcome map_switcher::switch_to(const std::vector<rank_state>& states, const expert_shape& shape,
+                                              const std::vector<std::uint32_t>& slots) {
+    const std::uint64_t epoch = states.front().epoch;
+    rank_order order = this->order_of(rank_order_kind::prepare, epoch, {++this->highest_version, 0});
+    order.layers = shape.layers;
+    order.ranks = shape.ranks;
+    order.slots.assign(slots.begin(), slots.end());
+    const std::uint64_t version = order.version;
+    outcome state = this->prepare_all(order);
+    if (state == outcome::switched) {
+        state = this->wait_prepared(epoch, version);
+    }
+    if (state != outcome::switched) {
+        this->log.info("map_switch_not_begun", {{"version", std::to_string(version)}});
+        return state;
+    }
+    const std::optional<std::uint64_t> step = this->hold(epoch);
+    if (!step) {
+        this->log.info("map_switch_not_begun", {{"version", std::to_string(version)}, {"reason", "no step was held"}});
+        return outcome::not_begun;
+    }
+    state = this->complete(epoch, {version, *step}, {0, *step});
+    if (state == outcome::switched) {
+        this->last_switched = version;
+    }
+    return state;
+}
+
+map_switcher::outcome map_switcher::prepare_all(const rank_order& order) {
+    for (std::uint32_t i = 0; i < this->group.size(); ++i) {
+        order_outcome given = order_outcome::unanswered;
+        for (std::uint32_t attempt = 0; given == order_outcome::unanswered && attempt < config::order_attempts;
+             ++attempt) {
+            given = this->give(i, order);
+        }
+        if (given == order_outcome::fenced) {
+            return outcome::fenced;
+        }
+        if (given == order_outcome::refused) {
+            return outcome::not_begun;
+        }
+    }
+    return outcome::switched;
+}
+
+map_switcher::outcome map_switcher::wait_prepared(std::uint64_t epoch, std::uint64_t version) {
+    for (std::uint32_t i = 0; i < config::prepare_checks; ++i) {
+        if (!this->waiter.pause(config::prepare_check_ms)) {
+            return outcome::lost;
+        }
+        const auto states = this->read_states(epoch);
+        if (states && std::all_of(states->begin(), states->end(), [version](const rank_state& state) {
+                return state.prepared_version == version;
+            })) {
+            return outcome::switched;
+        }
+    }
+    return outcome::not_begun;
+}
+
+std::optional<std::uint64_t> map_switcher::hold(std::uint64_t epoch) {
+    for (std::uint32_t attempt = 0; attempt < config::order_attempts; ++attempt) {
+        const result<rank_state> before = this->group.rank(0).read_state();
+        if (!before || before->epoch != epoch) {
+            return std::nullopt;
+        }
+        const std::uint64_t step = before->step + config::step_lead;
+        this->name_step(step);
+        const order_outcome given = this->give(0, this->order_of(rank_order_kind::hold, epoch, {0, step}));
+        if (given == order_outcome::fenced) {
+            return std::nullopt;
+        }
+        const result<rank_state> after = this->group.rank(0).read_state();
+        if (after && after->epoch == epoch && after->held_step == step) {
+            return step;
+        }
+        // Without an answer the hold may come later; it ends as a stray one then.
+    }
+    return std::nullopt;
+}
+
+map_switcher::outcome map_switcher::complete(std::uint64_t epoch, const armed_switch& wanted,
+                                              const held_step& hold) {
+    this->name_step(wanted.step);
+    const rank_order arm = this->order_of(rank_order_kind::arm, epoch, wanted);
+    std::vector<bool> is_armed(this->group.size(), false);
+    while (true) {
+        for (std::uint32_t i = 0; i < this->group.size(); ++i) {
+            if (!is_armed[i] && this->give(i, arm) == order_outcome::fenced) {
+                return outcome::fenced;
+            }
+        }
+        // Read after the last order: a rank counts as armed by its own report only.
+        bool all_armed = true;
+        for (std::uint32_t i = 0; i < this->group.size(); ++i) {
+            const result<rank_state> state = this->group.rank(i).read_state();
+            if (state && state->epoch != epoch) {
+                return outcome::lost;
+            }
+            is_armed[i] = state && state->is_open && (state->armed == wanted || state->map_version == wanted.version);
+            all_armed = all_armed && is_armed[i];
+        }
+        if (all_armed) {
+            break;
+        }
+        if (!this->waiter.pause(config::arm_retry_ms)) {
+            return outcome::lost;
+        }
+    }
+    this->log.info("map_armed", {{"version", std::to_string(wanted.version)}, {"step", std::to_string(wanted.step)}});
+    return this->release(epoch, hold);
+}
+
+map_switcher::outcome map_switcher::release(std::uint64_t epoch, const held_step& hold) {
+    this->name_step(hold.step);
+    const rank_order go = this->order_of(rank_order_kind::go, epoch, {0, hold.step});
+    while (true) {
+        if (this->give(hold.rank, go) == order_outcome::fenced) {
+            return outcome::fenced;
+        }
+        const result<rank_state> state = this->group.rank(hold.rank).read_state();
+        if (state && state->epoch != epoch) {
+            return outcome::lost;
+        }
+        if (state && state->held_step != hold.step) {
+            return outcome::switched;
+        }
+        if (!this->waiter.pause(config::arm_retry_ms)) {
+            return outcome::lost;
+        }
+    }
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/ranks/rank_daemon.cpp
@@ -0,0 +1,245 @@
+#include "ranks/rank_daemon.h"
+
+#include "direct/peer_link.h"
+#include "direct/store_follower.h"
+#include "ranks/map_coordinator.h"
+
+#include <pomelohoist/config.h>
+
+#include <Poco/Exception.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace pomelohoist {
+
+namespace {
+
+/// The engine beside this process, for several threads.
+class shared_engine : public rank_engine {
+  public:
+    explicit shared_engine(std::unique_ptr<rank_engine> connected) : engine(std::move(connected)) {}
+    result<rank_state> read_state() override {
+        const std::lock_guard lock{this->mutex};
+        return this->engine->read_state();
+    }
+    result<std::vector<std::uint64_t>> read_counts() override {
+        const std::lock_guard lock{this->mutex};
+        return this->engine->read_counts();
+    }
+    result<rank_experts> read_experts() override {
+        const std::lock_guard lock{this->mutex};
+        return this->engine->read_experts();
+    }
+    order_outcome give(const rank_order& order) override {
+        const std::lock_guard lock{this->mutex};
+        return this->engine->give(order);
+    }
+
+  private:
+    std::mutex mutex;
+    std::unique_ptr<rank_engine> engine;
+};
+
+/// The ranks of the group that this process coordinates.
+class reached_group : public rank_group {
+  public:
+    explicit reached_group(std::vector<std::unique_ptr<rank_engine>> reached) : ranks(std::move(reached)) {}
+    [[nodiscard]] std::uint32_t size() const override { return static_cast<std::uint32_t>(this->ranks.size()); }
+    rank_engine& rank(std::uint32_t index) override { return *this->ranks[index]; }
+
+  private:
+    std::vector<std::unique_ptr<rank_engine>> ranks;
+};
+
+/// The engine beside this process as a member of the group.
+class own_rank : public rank_engine {
+  public:
+    explicit own_rank(rank_engine& beside) : engine(beside) {}
+    result<rank_state> read_state() override { return this->engine.read_state(); }
+    result<std::vector<std::uint64_t>> read_counts() override { return this->engine.read_counts(); }
+    result<rank_experts> read_experts() override { return this->engine.read_experts(); }
+    order_outcome give(const rank_order& order) override { return this->engine.give(order); }
+
+  private:
+    rank_engine& engine;
+};
+
+class rank_daemon : public daemon, public pause_source {
+  public:
+    rank_daemon(settings checked, const daemon_context& process, rank_platform& connector)
+        : values(std::move(checked)), context(process), platform(connector) {}
+
+    result<std::string> start() override {
+        const peer_record own{this->values.text("process.name"), this->values.address("inner.address")};
+        try {
+            this->shared = std::make_unique<shared_view>(this->context.time, this->context.log);
+            this->board = std::make_unique<load_board>(this->context.time);
+            this->engine =
+                std::make_unique<shared_engine>(this->platform.connect_engine(this->values.address("engine.address")));
+            this->server = std::make_unique<rank_server>(*this->engine);
+            this->link = std::make_unique<peer_link>(
+                peer_link_options{own, false, this->platform.seeds(this->values)}, *this->shared, *this->board,
+                this->server.get(), this->context.time, this->context.log);
+        } catch (const Poco::Exception& error) {
+            return failure{error_kind::invalid_settings, "the address cannot be bound: " + error.displayText()};
+        }
+        this->store = this->platform.connect_store(this->values, this->context.log);
+        this->follower = std::make_unique<store_follower>(*this->store, own, false, *this->shared, *this->link,
+                                                          this->context.time, this->context.log, this->context.metrics);
+        this->link->start();
+        this->follower->start();
+        this->thread = std::thread{[this] { this->coordinate_loop(); }};
+        return "inner=" + this->values.text("inner.address");
+    }
+
+    void stop() override {
+        {
+            const std::lock_guard lock{this->mutex};
+            this->stopping = true;
+        }
+        this->stopped.notify_all();
+        if (this->thread.joinable()) {
+            this->thread.join();
+        }
+        if (this->follower) {
+            this->follower->stop();
+            this->link->stop();
+        }
+    }
+
+    void reload(const settings& checked) override { this->link->set_seeds(this->platform.seeds(checked)); }
+
+    bool pause(std::uint32_t milliseconds) override {
+        std::unique_lock lock{this->mutex};
+        this->stopped.wait_for(lock, std::chrono::milliseconds{milliseconds}, [this] { return this->stopping; });
+        return !this->stopping;
+    }
+
+  private:
+    void coordinate_loop() {
+        while (this->pause(static_cast<std::uint32_t>(config::map_interval.count()))) {
+            const result<rank_state> own = this->engine->read_state();
+            if (!own || own->group.empty()) {
+                continue;
+            }
+            this->note_rank(*own);
+            const std::vector<group_peer> peers = this->link->group_peers(own->group);
+            const bool is_first =
+                std::none_of(peers.begin(), peers.end(), [&own](const auto& peer) { return peer.rank < own->rank; });
+            if (!is_first) {
+                this->end_term();
+                continue;
+            }
+            if (!this->coordinator && !this->begin_term(*own, peers)) {
+                continue;
+            }
+            if (!this->coordinator->run_once()) {
+                this->end_term();
+            }
+        }
+    }
+
+    void note_rank(const rank_state& own) {
+        const inner::rank_note note{own.group, own.rank, this->values.address("engine.address")};
+        if (this->noted != note) {
+            this->noted = note;
+            this->link->set_rank(note);
+            this->link->announce();
+        }
+    }
+
+    /// Begins to coordinate, once all ranks of the group are known.
+    bool begin_term(const rank_state& own, const std::vector<group_peer>& peers) {
+        const std::optional<expert_shape> shape = this->find_shape(own.ranks);
+        if (!shape || peers.size() + 1 != own.ranks) {
+            return false;
+        }
+        const result<std::uint64_t> fence =
+            this->platform.take_fence(this->values, own.group, this->values.text("process.name"));
+        if (!fence) {
+            this->context.log.warn("fence_not_taken", {{"group", own.group}, {"reason", fence.last_error().reason}});
+            return false;
+        }
+        std::vector<std::unique_ptr<rank_engine>> ranks(own.ranks);
+        ranks[own.rank] = std::make_unique<own_rank>(*this->engine);
+        for (const group_peer& peer : peers) {
+            if (peer.rank >= own.ranks || ranks[peer.rank]) {
+                return false;
+            }
+            ranks[peer.rank] = std::make_unique<remote_rank>(this->values.text("process.name"), peer.address,
+                                                             peer.engine, this->platform);
+        }
+        this->group = std::make_unique<reached_group>(std::move(ranks));
+        this->switcher = std::make_unique<map_switcher>(*this->group, *this, this->context.log);
+        this->switcher->take_over(*fence);
+        map_policy policy;
+        policy.max_new = this->max_new;
+        this->coordinator = std::make_unique<map_coordinator>(*this->group, *this->switcher, *shape, policy,
+                                                              this->context.time, this->context.log,
+                                                              this->context.metrics);
+        this->context.log.info("coordination_begun", {{"group", own.group}, {"fence", std::to_string(*fence)}});
+        return true;
+    }
+
+    void end_term() {
+        if (this->coordinator) {
+            this->context.log.info("coordination_ended", {{"fence", std::to_string(this->switcher->fence())}});
+        }
+        this->coordinator.reset();
+        this->switcher.reset();
+        this->group.reset();
+    }
+
+    std::optional<expert_shape> find_shape(std::uint32_t ranks) {
+        const view seen = this->shared->current();
+        const service* own = seen.routing ? seen.routing->find_service(this->values.text("engine.service")) : nullptr;
+        if (own == nullptr || !own->experts) {
+            return std::nullopt;
+        }
+        this->max_new = own->experts->max_new;
+        return expert_shape{ranks, own->experts->experts, own->experts->layers, own->experts->slots_per_rank};
+    }
+
+    const settings values;
+    const daemon_context context;
+    rank_platform& platform;
+    std::unique_ptr<shared_view> shared;
+    std::unique_ptr<load_board> board;
+    std::unique_ptr<shared_engine> engine;
+    std::unique_ptr<rank_server> server;
+    std::unique_ptr<peer_link> link;
+    std::unique_ptr<control_store> store;
+    std::unique_ptr<store_follower> follower;
+    std::optional<inner::rank_note> noted;
+    std::uint32_t max_new{0};
+    std::unique_ptr<reached_group> group;
+    std::unique_ptr<map_switcher> switcher;
+    std::unique_ptr<map_coordinator> coordinator;
+    std::mutex mutex;
+    std::condition_variable stopped;
+    bool stopping{false};
+    std::thread thread;
+};
+
+} // namespace
+
+settings_schema rank_daemon_factory::schema() const {
+    settings_schema own{
+        {"inner.address", setting_type::address, true, "", "address for other processes, UDP and TCP", {}},
+        {"engine.address", setting_type::address, true, "", "address of the engine beside this process", {}},
+        {"engine.service", setting_type::text, true, "", "service that the engine belongs to", {}},
+    };
+    const settings_schema more = this->platform.schema();
+    own.insert(own.end(), more.begin(), more.end());
+    return own;
+}
+
+std::unique_ptr<daemon> rank_daemon_factory::create(const settings& checked, const daemon_context& context) {
+    return std::make_unique<rank_daemon>(checked, context, this->platform);
+}
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/ranks/rank_engine.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <pomelohoist/error.h>
+
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// A rank of an expert-parallel group whose engine switches expert maps by itself, at a step that it is told.
+namespace pomelohoist {
+
+/// A map that a rank switches to as a step begins.
+struct armed_switch {
+    std::uint64_t version{0};
+    std::uint64_t step{0};
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->version, this->step); }
+    friend bool operator==(const armed_switch&, const armed_switch&) = default;
+};
+
+/// What a rank says of itself.
+struct rank_state {
+    std::string group;
+    std::uint64_t epoch{0}; ///< grows when the group forms anew; everything prepared, armed or held is lost then
+    std::uint32_t rank{0};
+    std::uint32_t ranks{0}; ///< of the group
+    bool is_open{false};
+    std::uint64_t step{0}; ///< the last one that was begun
+    std::uint64_t map_version{0};
+    std::uint64_t prepared_version{0}; ///< 0 for none; shown once the copy is complete
+    std::optional<armed_switch> armed;
+    std::optional<std::uint64_t> held_step; ///< the group does not begin this step
+    std::uint32_t active{0};                ///< requests that run or wait here
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->group, this->epoch, this->rank, this->ranks, this->is_open, this->step, this->map_version,
+                this->prepared_version, this->armed, this->held_step, this->active);
+    }
+    friend bool operator==(const rank_state&, const rank_state&) = default;
+};
+
+enum class rank_order_kind : std::uint8_t {
+    prepare, ///< copy the experts of a map that are new to this rank
+    arm,     ///< switch to the prepared map as a step begins
+    hold,    ///< the group does not begin a step until `go`
+    go,      ///< ends a hold
+    count
+};
+
+/// An order to a rank. Every kind may be repeated: a rank in the state that is asked for accepts it again.
+struct rank_order {
+    rank_order_kind kind{rank_order_kind::count};
+    std::uint64_t epoch{0}; ///< a rank in another epoch refuses
+    std::uint64_t fence{0}; ///< fencing token; a rank that has seen a higher one refuses
+    std::uint64_t version{0};
+    std::uint64_t step{0};
+    std::uint32_t layers{0};          ///< with `prepare`: shape of `slots`
+    std::uint32_t ranks{0};           ///< with `prepare`
+    std::vector<std::uint16_t> slots; ///< with `prepare`: experts in the order layer, rank, slot
+
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->kind, this->epoch, this->fence, this->version, this->step, this->layers, this->ranks,
+                this->slots);
+    }
+    friend bool operator==(const rank_order&, const rank_order&) = default;
+};
+
+enum class order_outcome : std::uint8_t {
+    accepted,   ///< begun, done, or already so
+    refused,    ///< does not fit the rank's state
+    fenced,     ///< the rank has seen a higher fencing token
+    unanswered, ///< may have been accepted, and may still be carried out seconds later
+    count
+};
+
+/// The experts that a rank holds.
+struct rank_experts {
+    std::uint64_t map_version{0};
+    std::vector<std::vector<std::uint32_t>> by_layer;
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->map_version, this->by_layer); }
+    friend bool operator==(const rank_experts&, const rank_experts&) = default;
+};
+
+class rank_engine {
+  public:
+    virtual ~rank_engine() = default;
+    virtual result<rank_state> read_state() = 0;
+    /// @returns how often each expert was chosen since the rank started, in the order layer, expert
+    virtual result<std::vector<std::uint64_t>> read_counts() = 0;
+    virtual result<rank_experts> read_experts() = 0;
+    virtual order_outcome give(const rank_order& order) = 0;
+};
+
+/// The ranks of one group, as its coordinator reaches them.
+class rank_group {
+  public:
+    virtual ~rank_group() = default;
+    [[nodiscard]] virtual std::uint32_t size() const = 0;
+    /// @param rank below `size`
+    virtual rank_engine& rank(std::uint32_t rank) = 0;
+};
+
+/// Waits, so that tests need not.
+class pause_source {
+  public:
+    virtual ~pause_source() = default;
+    /// @returns false when the process stops
+    virtual bool pause(std::uint32_t milliseconds) = 0;
+};
+
+} // namespace pomelohoist
--- /dev/null
+++ b/src/ranks/remote_rank.cpp
@@ -0,0 +1,94 @@
+#include "ranks/remote_rank.h"
+
+#include "ranks/rank_messages.h"
+
+#include <pomelohoist/config.h>
+
+#include <utility>
+
+namespace pomelohoist {
+
+using inner::call_stream;
+
+void rank_server::handle_stream(const inner::packet& first, inner::frame_channel& channel) {
+    const std::lock_guard lock{this->mutex};
+    if (first.type == inner::rank_query::type) {
+        const result<inner::rank_query> query = inner::decode_body<inner::rank_query>(first);
+        const result<rank_state> state = this->engine.read_state();
+        if (!query || !state) {
+            const failure& reason = query ? state.last_error() : query.last_error();
+            static_cast<void>(channel.send(inner::failure_reply{reason.kind, reason.reason}));
+            return;
+        }
+        inner::rank_report report{*state, {}, std::nullopt};
+        if (query->with_counts) {
+            result<std::vector<std::uint64_t>> counts = this->engine.read_counts();
+            report.counts = counts ? std::move(*counts) : std::vector<std::uint64_t>{};
+        }
+        if (query->with_experts) {
+            result<rank_experts> experts = this->engine.read_experts();
+            report.experts = experts ? std::optional{std::move(*experts)} : std::nullopt;
+        }
+        static_cast<void>(channel.send(report));
+        return;
+    }
+    const result<inner::rank_order_request> request = inner::decode_body<inner::rank_order_request>(first);
+    if (!request) {
+        static_cast<void>(channel.send(inner::failure_reply{request.last_error().kind, request.last_error().reason}));
+        return;
+    }
+    static_cast<void>(channel.send(inner::rank_order_reply{this->engine.give(request->order)}));
+}
+
+remote_rank::remote_rank(std::string own_name, net_address process, const net_address& engine,
+                         rank_engine_source& source)
+    : name(std::move(own_name)), address(std::move(process)), engine_address(engine), engines(source) {}
+
+result<rank_state> remote_rank::read_state() {
+    const result<inner::rank_report> report =
+        call_stream<inner::rank_report>(this->address, this->name, inner::rank_query{}, config::rank_call_timeout);
+    if (report) {
+        return report->state;
+    }
+    if (report.last_error().kind != error_kind::unreachable && report.last_error().kind != error_kind::timeout) {
+        return report.last_error();
+    }
+    this->direct = this->direct ? std::move(this->direct) : this->engines.connect_engine(this->engine_address);
+    return this->direct->read_state();
+}
+
+result<std::vector<std::uint64_t>> remote_rank::read_counts() {
+    const result<inner::rank_report> report =
+        call_stream<inner::rank_report>(this->address, this->name, inner::rank_query{true, false}, config::rank_call_timeout);
+    if (!report) {
+        return report.last_error();
+    }
+    if (report->counts.empty()) {
+        return failure{error_kind::unreachable, "the rank gave no counts"};
+    }
+    return report->counts;
+}
+
+result<rank_experts> remote_rank::read_experts() {
+    const result<inner::rank_report> report = call_stream<inner::rank_report>(
+        this->address, this->name, inner::rank_query{false, true}, config::rank_call_timeout);
+    if (!report) {
+        return report.last_error();
+    }
+    if (!report->experts) {
+        return failure{error_kind::unreachable, "the rank did not name its experts"};
+    }
+    return *report->experts;
+}
+
+order_outcome remote_rank::give(const rank_order& order) {
+    const result<inner::rank_order_reply> reply = call_stream<inner::rank_order_reply>(
+        this->address, this->name, inner::rank_order_request{order}, config::rank_call_timeout);
+    if (reply) {
+        return reply->outcome;
+    }
+    this->direct = this->direct ? std::move(this->direct) : this->engines.connect_engine(this->engine_address);
+    return this->direct->give(order);
+}
+
+} // namespace pomelohoist
