Fence all ranks before a coordinator's first switch; never give one version to two maps

A coordinator numbered its map one above the highest version it had seen, and a late prepare of an earlier one with the same number and another map was carried out at one rank first. Versions now contain the fencing token, and a coordinator shows its token to every rank before it acts, so that one that only stood still can give no orders in between.

Ruled out: the hold, the arming and the stray holds; they keep the promise in the same schedules.

--- a/src/ranks/map_coordinator.cpp
+++ b/src/ranks/map_coordinator.cpp
@@ -41,6 +41,9 @@
         this->observed_at.reset();
     }
     const bool is_free = this->switcher.settle(*states);
+    if (this->switcher.is_superseded()) {
+        return false;
+    }
     if (!this->observe(*states) || !is_free) {
         return true;
     }
--- a/src/ranks/map_switcher.cpp
+++ b/src/ranks/map_switcher.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Far more switches than one coordinator makes in its life.
+constexpr std::uint64_t versions_for_each_token = 1U << 20U;
+
 std::optional<held_step> find_hold(const std::vector<rank_state>& states) {
     for (const rank_state& state : states) {
         if (state.held_step) {
@@ -43,9 +46,28 @@
 void map_switcher::take_over(std::uint64_t fencing_token) {
     this->token = fencing_token;
     this->must_learn_steps = true;
+    this->has_fenced = false;
+    this->is_fenced_off = false;
+    this->next_version = fencing_token * versions_for_each_token;
     this->last_switched = 0;
 }
 
+bool map_switcher::fence_all(std::uint64_t epoch) {
+    // Ends a hold of a step that never comes, so it changes nothing.
+    const rank_order harmless = this->order_of(rank_order_kind::go, epoch, {0, 0});
+    for (std::uint32_t i = 0; i < this->group.size(); ++i) {
+        order_outcome shown = order_outcome::unanswered;
+        for (std::uint32_t attempt = 0; shown == order_outcome::unanswered && attempt < config::order_attempts;
+             ++attempt) {
+            shown = this->give(i, harmless);
+        }
+        if (shown == order_outcome::unanswered || shown == order_outcome::fenced) {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::optional<std::vector<rank_state>> map_switcher::read_states() {
     std::vector<rank_state> states;
     for (std::uint32_t i = 0; i < this->group.size(); ++i) {
@@ -72,10 +94,7 @@
         this->seen_epoch = states.front().epoch;
         this->must_learn_steps = true;
         this->last_switched = 0;
-        this->highest_version = 0;
-    }
-    for (const rank_state& state : states) {
-        this->highest_version = std::max({this->highest_version, state.map_version, state.prepared_version});
+        this->has_fenced = false;
     }
     if (this->must_learn_steps) {
         // An earlier coordinator names steps at most this far ahead.
@@ -105,12 +124,27 @@
 order_outcome map_switcher::give(std::uint32_t rank, const rank_order& order) {
     const order_outcome outcome = this->group.rank(rank).give(order);
     if (outcome == order_outcome::fenced) {
+        this->is_fenced_off = true;
         this->log.warn("rank_order_fenced", {{"rank", std::to_string(rank)}, {"fence", std::to_string(this->token)}});
     }
     return outcome;
 }
 
-bool map_switcher::settle(const std::vector<rank_state>& states) {
+bool map_switcher::settle(const std::vector<rank_state>& seen) {
+    const std::uint64_t epoch = seen.front().epoch;
+    if (this->has_fenced) {
+        return this->settle_fenced(seen);
+    }
+    this->has_fenced = this->fence_all(epoch);
+    if (!this->has_fenced) {
+        return false;
+    }
+    // Read again: an earlier coordinator may have given orders until the last rank had seen the token.
+    const std::optional<std::vector<rank_state>> fresh = this->read_states(epoch);
+    return fresh && this->has_fenced && this->settle_fenced(*fresh);
+}
+
+bool map_switcher::settle_fenced(const std::vector<rank_state>& states) {
     const std::optional<armed_switch> armed = find_armed(states);
     const auto held = find_hold(states);
     if (!armed && !held) {
@@ -142,7 +176,7 @@
 map_switcher::outcome map_switcher::switch_to(const std::vector<rank_state>& states, const expert_shape& shape,
                                               const std::vector<std::uint32_t>& slots) {
     const std::uint64_t epoch = states.front().epoch;
-    rank_order order = this->order_of(rank_order_kind::prepare, epoch, {++this->highest_version, 0});
+    rank_order order = this->order_of(rank_order_kind::prepare, epoch, {++this->next_version, 0});
     order.layers = shape.layers;
     order.ranks = shape.ranks;
     order.slots.assign(slots.begin(), slots.end());
--- a/src/ranks/map_switcher.h
+++ b/src/ranks/map_switcher.h
@@ -26,6 +26,9 @@
 /// later, so every order is repeated until the rank's own report shows its effect, and a switch of which a rank may be
 /// armed is only ever completed, never taken back.
 ///
+/// A coordinator that takes over first shows its fencing token to every rank, so that an earlier one, which may only have
+/// stood still, can give no further orders. Versions contain the token: two coordinators never use one for two maps.
+///
 /// Why late orders are harmless: `arm` is refused once its step has begun, and the step begins only when all ranks are
 /// armed. `prepare` is refused for an old version. `hold` and `go` name a step, and no step is named twice: a new
 /// switch waits until the group is past every step that an earlier one may have named.
@@ -49,15 +52,21 @@
     std::optional<std::vector<rank_state>> read_states();
     /// Completes or ends what an earlier coordinator has left behind.
     /// @returns false when the group is not free for a new switch
-    bool settle(const std::vector<rank_state>& states);
+    bool settle(const std::vector<rank_state>& seen);
     /// @param slots experts in the order layer, rank, slot
     outcome switch_to(const std::vector<rank_state>& states, const expert_shape& shape,
                       const std::vector<std::uint32_t>& slots);
+    /// @returns true when another coordinator has taken over
+    [[nodiscard]] bool is_superseded() const { return this->is_fenced_off; }
     /// @returns version of the last map that this process has switched to in this epoch, or 0
     [[nodiscard]] std::uint64_t switched_version() const { return this->last_switched; }
     [[nodiscard]] std::uint64_t fence() const { return this->token; }
 
   private:
+    bool settle_fenced(const std::vector<rank_state>& states);
+    /// Shows the fencing token to every rank.
+    /// @returns false when a rank did not answer or has seen a higher one
+    bool fence_all(std::uint64_t epoch);
     [[nodiscard]] bool is_past_named_steps(const std::vector<rank_state>& states) const;
     outcome prepare_all(const rank_order& order);
     outcome wait_prepared(std::uint64_t epoch, std::uint64_t version);
@@ -76,7 +85,9 @@
     structured_log& log;
     std::uint64_t token{0};
     std::uint64_t seen_epoch{0};
-    std::uint64_t highest_version{0};
+    bool is_fenced_off{false};
+    bool has_fenced{false};         ///< all ranks have seen the token in this epoch
+    std::uint64_t next_version{0};
     std::uint64_t named_until{0}; ///< no earlier switch has named a step beyond this one
     bool must_learn_steps{true};  ///< `named_until` is not known yet
     std::uint64_t last_switched{0};
--- /dev/null
+++ b/tests/ranks/map_switcher_test.cpp
@@ -0,0 +1,148 @@
+#include "simulated_group.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <random>
+
+/// Switches of the expert map on ranks that take orders.
+namespace pomelohoist {
+namespace {
+
+constexpr expert_shape small_shape{4, 8, 2, 3};
+
+/// @returns schedules to run; MAP_SWITCH_SEEDS asks for more
+std::uint64_t seeds() {
+    const char* asked = std::getenv("MAP_SWITCH_SEEDS");
+    return asked != nullptr ? std::strtoull(asked, nullptr, 10) : 120;
+}
+
+map_policy test_policy() {
+    map_policy policy;
+    policy.max_new = 2;
+    return policy;
+}
+
+/// A deployment with one coordinator after another.
+class coordinated_group {
+  public:
+    coordinated_group(const group_faults& faults, std::uint64_t seed)
+        : group(small_shape, faults, seed), random(seed), log(make_null_log()) {
+        this->group.work_of_another = [this] { this->run_term(6); };
+    }
+
+    /// One coordinator works until it dies, is fenced off, or has done its rounds.
+    void run_term(int rounds) {
+        map_switcher switcher{this->group, this->group, this->log};
+        switcher.take_over(++this->fence);
+        map_coordinator coordinator{this->group, switcher, small_shape, test_policy(), this->group.time(),
+                                    this->log,   this->metrics};
+        try {
+            for (int i = 0; i < rounds; ++i) {
+                this->shift_demand();
+                this->group.pause(300);
+                if (!coordinator.run_once()) {
+                    return;
+                }
+            }
+        } catch (const coordinator_killed&) {
+            return; // the next term finishes what this one has begun
+        }
+    }
+
+    simulated_group group;
+
+  private:
+    void shift_demand() {
+        for (double& chance : this->group.demand) {
+            chance = static_cast<double>(this->random() % 100) / 100.0;
+        }
+    }
+
+    std::mt19937_64 random;
+    structured_log log;
+    metrics_registry metrics;
+    std::uint64_t fence{0};
+};
+
+// Guards against a step that begins while ranks have different maps, under lost and late orders, coordinators that die
+// or stand still at any call, idle times and groups that form anew.
+TEST(map_switcher_test, no_step_mixes_maps_under_faults) {
+    std::uint64_t switches = 0;
+    std::uint64_t epochs = 0;
+    for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
+        group_faults faults;
+        faults.unanswered = seed % 3 == 0 ? 0.0 : 0.35;
+        faults.killed = seed % 2 == 0 ? 0.01 : 0.0;
+        faults.frozen = seed % 4 < 2 ? 0.01 : 0.0;
+        faults.new_epoch = seed % 5 == 0 ? 0.02 : 0.0;
+        faults.idle = seed % 7 == 0 ? 0.3 : 0.05;
+        coordinated_group deployment{faults, seed};
+        for (int term = 0; term < 12; ++term) {
+            deployment.run_term(12);
+        }
+        switches += deployment.group.switches;
+        epochs += deployment.group.epochs;
+        ASSERT_EQ(deployment.group.mixed_steps, 0U) << "seed " << seed;
+    }
+    // A schedule in which nothing happens proves nothing.
+    EXPECT_GT(switches, 1000U);
+    EXPECT_GT(epochs, 120U);
+}
+
+// Guards against a group that stays held for good after a coordinator has died at any point of a switch.
+TEST(map_switcher_test, a_new_coordinator_ends_every_hold) {
+    for (std::uint64_t seed = 1; seed <= seeds(); ++seed) {
+        group_faults faults;
+        faults.unanswered = 0.2;
+        faults.killed = 0.05;
+        coordinated_group deployment{faults, seed};
+        for (int term = 0; term < 8; ++term) {
+            deployment.run_term(8);
+        }
+        deployment.group.calm_down();
+        deployment.run_term(6);
+        const std::uint64_t steps = deployment.group.steps;
+        deployment.group.pause(1000);
+        EXPECT_GT(deployment.group.steps, steps + 10) << "seed " << seed;
+        EXPECT_EQ(deployment.group.mixed_steps, 0U) << "seed " << seed;
+    }
+}
+
+// Guards against steps that wait for a switch where nothing fails: arming must be over before the step is reached.
+TEST(map_switcher_test, a_switch_without_faults_holds_no_step_back) {
+    coordinated_group deployment{group_faults{}, 7};
+    deployment.run_term(40);
+    EXPECT_GT(deployment.group.switches, 5U);
+    const auto elapsed = deployment.group.time().now().time_since_epoch();
+    const auto possible =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()) / 50;
+    EXPECT_GE(deployment.group.steps + 2, possible);
+}
+
+// Guards against two coordinators that both go on: the one with the lower fencing token must give up.
+TEST(map_switcher_test, an_older_coordinator_is_fenced_off) {
+    simulated_group group{small_shape, group_faults{}, 1};
+    structured_log log = make_null_log();
+    map_switcher older{group, group, log};
+    older.take_over(1);
+    map_switcher newer{group, group, log};
+    newer.take_over(2);
+    group.pause(5000);
+    std::vector<std::uint32_t> slots(small_shape.slots(), no_expert);
+    for (std::uint32_t layer = 0; layer < small_shape.layers; ++layer) {
+        for (std::uint32_t expert = 0; expert < small_shape.experts; ++expert) {
+            slots[layer * small_shape.slots_per_layer() + std::size_t{expert / 2} * small_shape.slots_per_rank +
+                  expert % 2] = expert;
+        }
+    }
+    const auto states = newer.read_states();
+    ASSERT_TRUE(states);
+    ASSERT_EQ(newer.switch_to(*states, small_shape, slots), map_switcher::outcome::switched);
+    const auto seen = older.read_states();
+    ASSERT_TRUE(seen);
+    EXPECT_EQ(older.switch_to(*seen, small_shape, slots), map_switcher::outcome::fenced);
+}
+
+} // namespace
+} // namespace pomelohoist
