--- /dev/null
+++ b/tests/adapter/rank_http_engine_test.cpp
@@ -0,0 +1,98 @@
+#include "rank_http_engine.h"
+
+#include "support/scripted_endpoint.h"
+
+#include <pomelohoist/expert_balance.h>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+/// The platform's model servers as ranks.
+namespace pomelohoist::platform {
+namespace {
+
+using test_support::scripted_answer;
+using test_support::scripted_endpoint;
+using testing::HasSubstr;
+using testing::Not;
+
+scripted_answer json_answer(int status, const std::string& body) {
+    return {"HTTP/1.1 " + std::to_string(status) + " S\r\nContent-Type: application/json\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body};
+}
+
+// Guards against an armed or held step that is not seen, which would let a group go on with two maps.
+TEST(rank_http_engine_test, decodes_every_part_of_a_state) {
+    const auto state = decode_rank_state(
+        R"({"group":{"name":"g0","epoch":3,"rank":5,"state":"open"},"size":8,"step":812,"map":4,"prepared":6,)"
+        R"("armed":{"version":6,"step":820},"held":820,"running":2,"queued":1})");
+    ASSERT_TRUE(state) << state.last_error().reason;
+    EXPECT_EQ(state->group, "g0");
+    EXPECT_EQ(state->epoch, 3U);
+    EXPECT_EQ(state->rank, 5U);
+    EXPECT_EQ(state->ranks, 8U);
+    EXPECT_TRUE(state->is_open);
+    EXPECT_EQ(state->map_version, 4U);
+    EXPECT_EQ(state->prepared_version, 6U);
+    EXPECT_EQ(state->armed, (armed_switch{6, 820}));
+    EXPECT_EQ(state->held_step, 820U);
+    EXPECT_EQ(state->active, 3U);
+    EXPECT_FALSE(decode_rank_state(R"({"group":{"name":"g0"},"step":1})"));
+    EXPECT_FALSE(decode_rank_state("no json"));
+}
+
+// Guards against an order whose map has another shape than the rank's.
+TEST(rank_http_engine_test, encodes_a_map_by_layer_and_rank) {
+    rank_order order;
+    order.kind = rank_order_kind::prepare;
+    order.epoch = 1;
+    order.fence = 7;
+    order.version = 4;
+    order.layers = 2;
+    order.ranks = 2;
+    order.slots = {0, 2, 1, static_cast<std::uint16_t>(no_expert), 1, 0, 2, 0};
+    const std::string body = encode_order(order);
+    EXPECT_THAT(body, HasSubstr(R"("map":[[[0,2],[1]],[[1,0],[2,0]]])"));
+    EXPECT_THAT(body, HasSubstr(R"("fence":7)"));
+    EXPECT_THAT(body, HasSubstr(R"("op":"prepare")"));
+    EXPECT_THAT(body, Not(HasSubstr("step")));
+}
+
+// Guards against an order without an answer that is taken for a refused one.
+TEST(rank_http_engine_test, outcomes_of_orders) {
+    int status = 202;
+    scripted_endpoint engine{[&status](const std::string&, std::size_t) {
+        return status == 0 ? scripted_answer{"", {}, false, true} : json_answer(status, "{}");
+    }};
+    rank_http_engine rank{engine.address()};
+    const auto give = [&](int answered) {
+        status = answered;
+        return rank.give(rank_order{rank_order_kind::go, 1, 1, 0, 5, 0, 0, {}});
+    };
+    EXPECT_EQ(give(202), order_outcome::accepted);
+    EXPECT_EQ(give(200), order_outcome::accepted);
+    EXPECT_EQ(give(409), order_outcome::refused);
+    EXPECT_EQ(give(412), order_outcome::fenced);
+    EXPECT_EQ(give(0), order_outcome::unanswered);
+    EXPECT_EQ(give(202), order_outcome::accepted);
+}
+
+// Guards against counts in another order, or of another rank.
+TEST(rank_http_engine_test, reads_counts_and_experts) {
+    scripted_endpoint engine{[](const std::string& request, std::size_t) {
+        return json_answer(200, request.starts_with("GET /-/picked?lists")
+                                    ? R"({"map":{"version":4,"experts":[[1,2],[3]]},"prepared":null})"
+                                    : R"({"step":9,"epoch":1,"counts":[[5,88],[940,1]]})");
+    }};
+    rank_http_engine rank{engine.address()};
+    const auto counts = rank.read_counts();
+    ASSERT_TRUE(counts);
+    EXPECT_EQ(*counts, (std::vector<std::uint64_t>{5, 88, 940, 1}));
+    const auto experts = rank.read_experts();
+    ASSERT_TRUE(experts);
+    EXPECT_EQ(experts->map_version, 4U);
+    EXPECT_EQ(experts->by_layer, (std::vector<std::vector<std::uint32_t>>{{1, 2}, {3}}));
+}
+
+} // namespace
+} // namespace pomelohoist::platform
--- /dev/null
+++ b/tests/adapter/row_control_store_test.cpp
@@ -0,0 +1,132 @@
+#include "row_control_store.h"
+#include "row_client.h"
+
+#include "support/row_store.h"
+
+#include <gtest/gtest.h>
+
+/// The platform's store through the product's interface.
+namespace pomelohoist::platform {
+namespace {
+
+using test_support::row_store;
+using test_support::store_mood;
+
+constexpr const char* registration =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":12,"state":"ready","seq":4})";
+
+class row_control_store_test : public testing::Test {
+  protected:
+    row_store platform;
+    structured_log log{make_null_log()};
+    row_control_store store{this->platform.address(), this->log};
+};
+
+// Guards against registrations that are missed where the table has several pages.
+TEST_F(row_control_store_test, reads_all_pages) {
+    for (int i = 0; i < 10; ++i) {
+        this->platform.put("servers", "i-" + std::to_string(i), registration);
+    }
+    const auto snapshot = this->store.read_endpoints();
+    ASSERT_TRUE(snapshot) << snapshot.last_error().reason;
+    EXPECT_EQ(snapshot->endpoints.size(), 10U);
+    EXPECT_EQ(snapshot->endpoints.front().address.to_string(), "10.0.0.9:80");
+    EXPECT_EQ(snapshot->endpoints.front().slots, 12U);
+}
+
+// Guards against changes that are lost between a read and the calls that follow it.
+TEST_F(row_control_store_test, follows_changes_from_a_read) {
+    this->platform.put("servers", "a", registration);
+    const auto snapshot = this->store.read_endpoints();
+    this->platform.put("servers", "b", registration);
+    this->platform.remove("servers", "a");
+    const auto changes = this->store.follow_endpoints(snapshot->revision);
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes->changes.size(), 2U);
+    EXPECT_FALSE(changes->changes[0].record);
+    EXPECT_TRUE(changes->changes[1].record);
+    EXPECT_GT(changes->revision, snapshot->revision);
+}
+
+// Guards against a registration by another writer that is used, or that hides the sound ones.
+TEST_F(row_control_store_test, leaves_unusable_registrations_out) {
+    this->platform.put("servers", "good", registration);
+    this->platform.put("servers", "bytes", "\xff\xfe{");
+    this->platform.put("servers", "types", R"({"service":1,"address":"10.0.0.9:80","zone":"z","slots":1,"state":"ready"})");
+    this->platform.put("servers", "state", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,"state":"odd"})");
+    this->platform.put("servers", "less", R"({"service":"s"})");
+    this->platform.put("servers", "slots", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":-1,"state":"ready"})");
+    const auto snapshot = this->store.read_endpoints();
+    ASSERT_TRUE(snapshot);
+    ASSERT_EQ(snapshot->endpoints.size(), 1U);
+    EXPECT_EQ(snapshot->endpoints.front().instance, "good");
+}
+
+// Guards against a declaration that cannot be read and takes the last good one away.
+TEST_F(row_control_store_test, an_unusable_declaration_changes_nothing) {
+    this->platform.put("op", "config", R"({"version":7,"routes":"none"})");
+    const auto change = this->store.read_routing();
+    ASSERT_TRUE(change);
+    EXPECT_FALSE(change->content);
+    this->platform.put("op", "config",
+                       R"({"version":9,"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"streaming",)"
+                       R"("timeout_ms":8000,"goal_ms":400,"priority":1,"attempts":2,"can_resume":true,)"
+                       R"("split":[{"service":"a","weight":90},{"service":"b","weight":10}]}],)"
+                       R"("services":[{"name":"a","max_conns":5,"engine":{"sets":6,"experts":64,"places":11,"spare":4}}],)"
+                       R"("tenants":[{"name":"t","api_keys":["k"],"priority":0}],"limits":{"body_bytes":100}})");
+    const auto next = this->store.follow_routing(change->revision, std::chrono::milliseconds{100});
+    ASSERT_TRUE(next);
+    ASSERT_TRUE(next->content);
+    EXPECT_EQ(next->content->version, 9U);
+    EXPECT_EQ(next->content->routes.front().repeat, repeat_rule::stream);
+    EXPECT_EQ(next->content->routes.front().targets.size(), 2U);
+    EXPECT_EQ(next->content->services.front().experts->max_new, 4U);
+    EXPECT_EQ(next->content->workspaces.front().importance, 0U);
+    EXPECT_EQ(next->content->limits.body_bytes, 100U);
+}
+
+// Guards against an outage of the store that looks like an empty table.
+TEST_F(row_control_store_test, an_outage_is_an_error) {
+    this->platform.put("servers", "a", registration);
+    for (const store_mood mood :
+         {store_mood::busy, store_mood::limits, store_mood::resets, store_mood::loses, store_mood::misframes}) {
+        this->platform.set_mood(mood);
+        const auto snapshot = this->store.read_endpoints();
+        ASSERT_FALSE(snapshot) << static_cast<int>(mood);
+        EXPECT_EQ(snapshot.last_error().kind, error_kind::store_unavailable);
+        this->platform.set_mood(store_mood::serves);
+        EXPECT_TRUE(this->store.read_endpoints()) << "after mood " << static_cast<int>(mood);
+    }
+}
+
+// Guards against waiting for changes that the store has forgotten.
+TEST_F(row_control_store_test, a_dropped_history_is_told_apart) {
+    const auto snapshot = this->store.read_endpoints();
+    this->platform.drop_history();
+    const auto changes = this->store.follow_endpoints(snapshot->revision);
+    ASSERT_FALSE(changes);
+    EXPECT_EQ(changes.last_error().kind, error_kind::stale_configuration);
+}
+
+// Guards against a process that is not found by the others.
+TEST_F(row_control_store_test, peers_find_each_other) {
+    ASSERT_TRUE(this->store.register_peer({"n1", {"10.0.0.1", 7340}}));
+    ASSERT_TRUE(this->store.register_peer({"n1", {"10.0.0.2", 7340}}));
+    this->platform.put("peers", "odd", "nothing");
+    const auto peers = this->store.read_peers();
+    ASSERT_TRUE(peers);
+    ASSERT_EQ(peers->size(), 1U);
+    EXPECT_EQ(peers->front().address.ip, "10.0.0.2");
+}
+
+// Guards against two coordinators with one fencing token.
+TEST_F(row_control_store_test, each_write_has_a_higher_version) {
+    row_client client{this->platform.address()};
+    const auto first = client.write_row("fences", "g", "a");
+    const auto second = client.write_row("fences", "g", "b");
+    ASSERT_TRUE(first && second);
+    EXPECT_LT(*first, *second);
+}
+
+} // namespace
+} // namespace pomelohoist::platform
--- /dev/null
+++ b/tests/direct/decision_test.cpp
@@ -0,0 +1,164 @@
+#include "direct/chunk_decoder.h"
+#include "direct/endpoint_choice.h"
+#include "direct/event_tracker.h"
+#include "direct/load_board.h"
+#include "direct/routing_table.h"
+#include "direct/shared_retry_budget.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+/// Decisions of direct forwarding, without a network.
+namespace pomelohoist {
+namespace {
+
+using namespace std::chrono_literals;
+
+route way(const std::string& host, const std::string& prefix) {
+    route made;
+    made.name = host + prefix;
+    made.host = host;
+    made.prefix = prefix;
+    return made;
+}
+
+// Guards against a request that takes a shorter prefix, the route of another host, or half a path segment.
+TEST(routing_table_test, takes_the_longest_prefix_of_the_host) {
+    routing_content content;
+    content.routes = {way("a", "/"), way("a", "/x/"), way("a", "/x/y/"), way("b", "/x/y/z/")};
+    const routing_table table{content};
+    EXPECT_EQ(table.find_route("a", "/x/y/z/1")->name, "a/x/y/");
+    EXPECT_EQ(table.find_route("a", "/x/yy/1")->name, "a/x/");
+    EXPECT_EQ(table.find_route("a", "/x")->name, "a/");
+    EXPECT_EQ(table.find_route("b", "/x/y/1"), nullptr);
+    EXPECT_EQ(table.find_route("c", "/x/"), nullptr);
+    EXPECT_EQ(table.find_route("a", "no-slash"), nullptr);
+}
+
+// Guards against a key that finds a neighbour's workspace, and an empty key that finds any.
+TEST(routing_table_test, finds_the_holder_of_a_key) {
+    routing_content content;
+    content.workspaces = {{"w1", {"k1", "k3"}, std::nullopt}, {"w2", {"k2"}, 0}};
+    const routing_table table{content};
+    EXPECT_EQ(table.find_workspace("k3")->name, "w1");
+    EXPECT_EQ(table.find_workspace("k2")->name, "w2");
+    EXPECT_EQ(table.find_workspace("k"), nullptr);
+    EXPECT_EQ(table.find_workspace(""), nullptr);
+}
+
+// Guards against a truncated chunked body that looks whole, whatever the pieces in which it arrives.
+TEST(chunk_decoder_test, is_done_only_after_the_last_chunk) {
+    const std::string coded = "5;ext=1\r\nhello\r\n6\r\n world\r\n0\r\nTrailer: x\r\n\r\n";
+    for (std::size_t length = 0; length < coded.size(); ++length) {
+        chunk_decoder decoder;
+        std::string input;
+        std::string output;
+        for (std::size_t i = 0; i < length; ++i) {
+            input += coded[i];
+            decoder.decode(input, output);
+        }
+        EXPECT_FALSE(decoder.is_done()) << length;
+        input += coded.substr(length) + "next";
+        decoder.decode(input, output);
+        EXPECT_TRUE(decoder.is_done()) << length;
+        EXPECT_EQ(output, "hello world");
+        EXPECT_EQ(input, "next");
+    }
+}
+
+// Guards against bytes that are no chunks and are passed on as a body.
+TEST(chunk_decoder_test, refuses_malformed_chunks) {
+    for (const char* coded : {"x\r\n", "\r\n", "-1\r\n", "3\r\nabcd\r\n", "fffffffffffffffff\r\n"}) {
+        chunk_decoder decoder;
+        std::string input = coded;
+        std::string output;
+        decoder.decode(input, output);
+        EXPECT_TRUE(decoder.is_malformed()) << coded;
+    }
+}
+
+// Guards against herds: many entries that place at the same moment must not all take the least loaded endpoint.
+TEST(endpoint_choice_test, spreads_over_the_least_loaded) {
+    seeded_random random{3};
+    const std::vector<endpoint_candidate> candidates{
+        {0, 4, 12, 14, false, false}, {1, 4, 12, 14, false, false}, {2, 9, 12, 14, false, false}};
+    std::map<std::size_t, int> taken;
+    for (int i = 0; i < 200; ++i) {
+        ++taken[*choose_endpoint(candidates, random).index];
+    }
+    EXPECT_EQ(taken.count(2), 0U);
+    EXPECT_GT(taken[0], 50);
+    EXPECT_GT(taken[1], 50);
+}
+
+// Guards against refusing with places free, against a place at a tried endpoint, and against waiting for none.
+TEST(endpoint_choice_test, uses_avoided_endpoints_last_and_tried_ones_never) {
+    seeded_random random{3};
+    const endpoint_candidate avoided{0, 0, 12, 14, true, false};
+    const endpoint_candidate full{1, 14, 12, 14, false, false};
+    const endpoint_candidate tried{2, 0, 12, 14, false, true};
+    EXPECT_EQ(choose_endpoint({avoided, full, tried}, random).index, 0U);
+    EXPECT_EQ(choose_endpoint({full, tried}, random), (endpoint_choice{std::nullopt, true}));
+    EXPECT_EQ(choose_endpoint({tried}, random), (endpoint_choice{std::nullopt, false}));
+    EXPECT_EQ(choose_endpoint({}, random), (endpoint_choice{std::nullopt, false}));
+}
+
+// Guards against places that stay taken by an entry that has stopped or was cut off.
+TEST(load_board_test, forgets_silent_entries) {
+    manual_clock time;
+    load_board board{time};
+    const endpoint_digest endpoint = digest_of_instance("i-1");
+    board.begin(endpoint);
+    board.take_peer_load("p", {{endpoint, 3}, {digest_of_instance("i-2"), 9}});
+    EXPECT_EQ(board.total(endpoint), 4U);
+    EXPECT_EQ(board.entries(), 2U);
+    board.take_peer_load("p", {{endpoint, 1}});
+    EXPECT_EQ(board.total(endpoint), 2U);
+    time.advance(5s);
+    EXPECT_EQ(board.total(endpoint), 1U);
+    EXPECT_EQ(board.entries(), 1U);
+    board.end(endpoint);
+    EXPECT_EQ(board.total(endpoint), 0U);
+}
+
+// Guards against repeats that multiply an overload: all entries together stay within the deployment's bound.
+TEST(shared_retry_budget_test, all_entries_together_stay_within_the_bound) {
+    manual_clock time;
+    const retry_limits limits{0.2, 188.0, 10000ms};
+    constexpr std::uint32_t entries = 12;
+    constexpr int requests_for_each = 50;
+    std::vector<std::unique_ptr<shared_retry_budget>> budgets;
+    int spent = 0;
+    for (std::uint32_t i = 0; i < entries; ++i) {
+        budgets.push_back(std::make_unique<shared_retry_budget>(limits, time));
+        for (int k = 0; k < requests_for_each; ++k) {
+            budgets.back()->note_request("s");
+        }
+        while (budgets.back()->try_spend("s", entries)) {
+            ++spent;
+        }
+    }
+    EXPECT_LE(spent, 0.2 * entries * requests_for_each + 188.0);
+    EXPECT_GT(spent, 100);
+    EXPECT_FALSE(budgets.front()->try_spend("s", entries));
+    time.advance(11s);
+    EXPECT_TRUE(budgets.front()->try_spend("s", entries));
+}
+
+// Guards against events that come twice, out of order, or torn, where two runs make one stream.
+TEST(event_tracker_test, passes_whole_events_in_order) {
+    event_tracker tracker{""};
+    EXPECT_EQ(tracker.take("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+    EXPECT_EQ(tracker.last_id(), "1");
+    EXPECT_EQ(tracker.rest(), "id: 2\nda");
+    tracker.drop_rest();
+    EXPECT_EQ(tracker.take("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+    EXPECT_EQ(tracker.take("id: 2\ndata: b\n\n"), std::nullopt);
+    event_tracker resumed{"12"};
+    EXPECT_EQ(resumed.take("id: 12\n\n"), std::nullopt);
+    EXPECT_EQ(event_tracker{"12"}.take("id: 13\n\n"), "id: 13\n\n");
+}
+
+} // namespace
+} // namespace pomelohoist
--- /dev/null
+++ b/tests/direct/direct_fixture.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "common/log.h"
+#include "direct/caller_front.h"
+#include "direct/direct_service.h"
+#include "direct/peer_link.h"
+#include "support/http_client.h"
+#include "support/scripted_endpoint.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+/// An entry that forwards directly, with endpoints that the test writes.
+namespace pomelohoist {
+
+inline header_names test_headers() {
+    header_names names;
+    names.request_id = "X-Pomelohoist-Attempt-Id";
+    names.deadline_ms = "X-Pomelohoist-Deadline-Ms";
+    names.api_key = "X-Api-Key";
+    names.workspace = "X-Pomelohoist-Tenant";
+    names.expected_instance = "X-Pomelohoist-Expect-Instance";
+    names.importance = "X-Pomelohoist-Request-Priority";
+    names.signature = "X-Pomelohoist-Response-Stamp";
+    names.not_run = "X-Pomelohoist-Not-Executed";
+    return names;
+}
+
+inline route test_route(const std::string& prefix, repeat_rule repeat, std::uint32_t max_endpoints) {
+    route way;
+    way.name = prefix;
+    way.host = "h.example";
+    way.prefix = prefix;
+    way.repeat = repeat;
+    way.targets = {{"s", 1}};
+    way.timeout_ms = 2000;
+    way.goal_ms = 100;
+    way.importance = 2;
+    way.max_endpoints = max_endpoints;
+    way.can_resume = repeat == repeat_rule::stream;
+    return way;
+}
+
+inline routing_content test_routing(std::uint64_t version) {
+    routing_content content;
+    content.version = version;
+    content.routes = {test_route("/safe/", repeat_rule::safe, 2), test_route("/unsafe/", repeat_rule::unsafe, 1),
+                      test_route("/stream/", repeat_rule::stream, 2)};
+    content.services = {{"s", 100, std::nullopt}};
+    content.workspaces = {{"w", {"key-1"}, 1}};
+    return content;
+}
+
+class direct_entry {
+  public:
+    explicit direct_entry(const std::vector<net_address>& endpoints) {
+        endpoint_list list{1, {}};
+        for (std::size_t i = 0; i < endpoints.size(); ++i) {
+            list.endpoints.push_back({"i-" + std::to_string(i), "s", endpoints[i], "dc", 4, false});
+        }
+        this->shared.take_routing(test_routing(3));
+        this->shared.take_endpoints(list);
+        this->front.start();
+    }
+
+    test_support::http_answer call(const std::string& method, const std::string& path, const std::string& body = "",
+                                   std::map<std::string, std::string> more = {},
+                                   const test_support::body_sink& sink = {}) {
+        test_support::http_request request;
+        request.method = method;
+        request.path = path;
+        request.body = body;
+        request.headers = std::move(more);
+        request.headers.emplace("Host", "h.example");
+        request.headers.emplace("X-Api-Key", "key-1");
+        request.headers.emplace("X-Pomelohoist-Attempt-Id", "a-1");
+        request.headers.emplace("X-Pomelohoist-Deadline-Ms", "1500");
+        return test_support::send_http(this->address, request, sink);
+    }
+
+    system_clock time;
+    structured_log log{make_null_log()};
+    metrics_registry metrics;
+    seeded_random random{1};
+    header_names names{test_headers()};
+    shared_view shared{this->time, this->log};
+    load_board board{this->time};
+    peer_link link{{{"entry", {"127.0.0.1", 0}}, true, {}}, this->shared, this->board, nullptr, this->time, this->log};
+    endpoint_avoidance avoidance{this->time};
+    shared_retry_budget budget{{0.2, 100.0, std::chrono::milliseconds{10000}}, this->time};
+    connection_pool connections{this->time};
+    place_queue places{this->shared, this->board, this->link, this->avoidance, this->random, this->time};
+    forwarding_parts parts{this->names, this->places,  this->connections, this->avoidance, this->budget,
+                           this->board, this->random, this->time,        this->log,       this->metrics};
+    direct_service service{this->parts, this->shared};
+    net_address address{"127.0.0.1", this->free_port()};
+    caller_front front{this->address, this->service, this->shared, this->time};
+
+  private:
+    static std::uint16_t free_port() {
+        const Poco::Net::ServerSocket probe{Poco::Net::SocketAddress{"127.0.0.1", 0}};
+        return probe.address().port();
+    }
+};
+
+} // namespace pomelohoist
--- /dev/null
+++ b/tests/direct/forwarding_test.cpp
@@ -0,0 +1,249 @@
+#include "direct_fixture.h"
+
+#include <gmock/gmock.h>
+
+#include <atomic>
+#include <thread>
+
+/// Forwarding over real connections, with endpoints that answer cut, late, twice or wrongly.
+namespace pomelohoist {
+namespace {
+
+using test_support::field_of;
+using test_support::http_answer;
+using test_support::scripted_answer;
+using test_support::scripted_endpoint;
+using test_support::whole_answer_to;
+using testing::HasSubstr;
+using testing::Not;
+
+scripted_answer good(const std::string& request, std::size_t /*number*/) {
+    return {whole_answer_to(request, 200, "body")};
+}
+
+std::string stream_head(const std::string& request) {
+    return "HTTP/1.1 200 OK\r\nX-Pomelohoist-Attempt-Id: " + field_of(request, "X-Pomelohoist-Attempt-Id") +
+           "\r\nX-Pomelohoist-Response-Stamp: signed\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string& data) {
+    std::ostringstream text;
+    text << std::hex << data.size() << "\r\n" << data << "\r\n";
+    return text.str();
+}
+
+std::string event(int id) {
+    return "id: " + std::to_string(id) + "\ndata: t\n\n";
+}
+
+// Guards against a key, a caller's own claim to a workspace, or a connection's field that reaches an endpoint.
+TEST(forwarding_test, passes_on_what_the_endpoint_may_see) {
+    scripted_endpoint endpoint{good};
+    direct_entry entry{{endpoint.address()}};
+    const http_answer answer =
+        entry.call("POST", "/unsafe/x?y=1", "payload",
+                   {{"X-Pomelohoist-Tenant", "forged"}, {"X-Secret", "1"}, {"Connection", "close, X-Secret"},
+                    {"X-Pomelohoist-Expect-Instance", "i-9"}, {"X-Kept", "2"}});
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "body");
+    ASSERT_EQ(endpoint.requests().size(), 1U);
+    const std::string request = endpoint.requests().front();
+    EXPECT_THAT(request, HasSubstr("POST /unsafe/x?y=1 HTTP/1.1"));
+    EXPECT_THAT(request, HasSubstr("\r\n\r\npayload"));
+    EXPECT_EQ(field_of(request, "X-Pomelohoist-Tenant"), "w");
+    EXPECT_EQ(field_of(request, "X-Pomelohoist-Expect-Instance"), "i-0");
+    EXPECT_EQ(field_of(request, "X-Pomelohoist-Request-Priority"), "1");
+    EXPECT_EQ(field_of(request, "X-Kept"), "2");
+    EXPECT_EQ(field_of(request, "X-Secret"), "");
+    EXPECT_THAT(request, Not(HasSubstr("key-1")));
+    EXPECT_LE(std::stoi(field_of(request, "X-Pomelohoist-Deadline-Ms")), 1500);
+}
+
+// Guards against requests with an unknown key or route that reach an endpoint.
+TEST(forwarding_test, refuses_unknown_keys_and_routes) {
+    scripted_endpoint endpoint{good};
+    direct_entry entry{{endpoint.address()}};
+    EXPECT_EQ(entry.call("GET", "/safe/x", "", {{"X-Api-Key", "other"}}).status, 401);
+    EXPECT_EQ(entry.call("GET", "/none/x").status, 404);
+    EXPECT_TRUE(endpoint.requests().empty());
+}
+
+// Guards against a truncated answer that looks whole, and against a safe request that is not tried elsewhere.
+TEST(forwarding_test, a_cut_answer_is_not_passed_on) {
+    const auto cut = [](const std::string& request, std::size_t) {
+        const std::string whole = whole_answer_to(request, 200, "body");
+        return scripted_answer{whole.substr(0, whole.size() - 2), {}, true};
+    };
+    scripted_endpoint bad{cut};
+    scripted_endpoint sound{good};
+    direct_entry entry{{bad.address(), sound.address()}};
+    for (int i = 0; i < 6; ++i) {
+        const http_answer safe = entry.call("GET", "/safe/x");
+        EXPECT_EQ(safe.status, 200);
+        EXPECT_EQ(safe.body, "body");
+    }
+    EXPECT_FALSE(bad.requests().empty());
+    direct_entry alone{{bad.address()}};
+    EXPECT_EQ(alone.call("POST", "/unsafe/x", "p").status, 502);
+}
+
+// Guards against a request that may run once only and is sent twice, or is called "not run" after it may have run.
+TEST(forwarding_test, an_unsafe_request_is_sent_once) {
+    scripted_endpoint resets{[](const std::string&, std::size_t) { return scripted_answer{"", {}, false, true}; }};
+    scripted_endpoint also_resets{[](const std::string&, std::size_t) { return scripted_answer{"", {}, false, true}; }};
+    direct_entry entry{{resets.address(), also_resets.address()}};
+    EXPECT_EQ(entry.call("POST", "/unsafe/x", "p").status, 502);
+    EXPECT_EQ(resets.requests().size() + also_resets.requests().size(), 1U);
+}
+
+// Guards against "not run" without the endpoint's word, and against silence where the endpoint gave it.
+TEST(forwarding_test, a_refusal_by_the_endpoint_is_a_promise) {
+    scripted_endpoint full{[](const std::string& request, std::size_t) {
+        return scripted_answer{whole_answer_to(request, 503, "", "X-Pomelohoist-Not-Executed: 1\r\n")};
+    }};
+    direct_entry entry{{full.address()}};
+    const http_answer answer = entry.call("POST", "/unsafe/x", "p");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(answer.headers.count("Retry-After"), 1U);
+    EXPECT_EQ(answer.headers.count("X-Pomelohoist-Response-Stamp"), 0U);
+    scripted_endpoint failing{
+        [](const std::string& request, std::size_t) { return scripted_answer{whole_answer_to(request, 500, "why")}; }};
+    direct_entry other{{failing.address()}};
+    const http_answer failed = other.call("POST", "/unsafe/x", "p");
+    EXPECT_EQ(failed.status, 500);
+    EXPECT_EQ(failed.body, "why");
+}
+
+// Guards against the answer to an earlier request, or bytes after an answer, that reach the next caller.
+TEST(forwarding_test, stray_answers_reach_nobody) {
+    scripted_endpoint late{[](const std::string& request, std::size_t) {
+        std::string stray = "HTTP/1.1 200 OK\r\nX-Pomelohoist-Attempt-Id: other\r\n"
+                            "X-Pomelohoist-Response-Stamp: signed\r\nContent-Length: 5\r\n\r\nwrong";
+        return scripted_answer{stray + whole_answer_to(request, 200, "right")};
+    }};
+    direct_entry entry{{late.address()}};
+    EXPECT_EQ(entry.call("GET", "/safe/x").body, "right");
+    scripted_endpoint extra{[](const std::string& request, std::size_t number) {
+        const std::string body = "body" + std::to_string(number);
+        return scripted_answer{whole_answer_to(request, 200, body) + whole_answer_to(request, 200, "extra")};
+    }};
+    direct_entry other{{extra.address()}};
+    EXPECT_EQ(other.call("GET", "/safe/x").body, "body0");
+    EXPECT_EQ(other.call("GET", "/safe/x").body, "body1");
+    EXPECT_EQ(extra.connections(), 2U);
+}
+
+// Guards against a success that the endpoint did not sign, or whose body is in another encoding.
+TEST(forwarding_test, unsigned_and_encoded_successes_are_no_answers) {
+    scripted_endpoint unsigned_answer{[](const std::string&, std::size_t) {
+        return scripted_answer{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+    }};
+    EXPECT_EQ(direct_entry({unsigned_answer.address()}).call("POST", "/unsafe/x", "p").status, 502);
+    scripted_endpoint encoded{[](const std::string& request, std::size_t) {
+        return scripted_answer{whole_answer_to(request, 200, "zz", "Content-Encoding: gzip\r\n")};
+    }};
+    EXPECT_EQ(direct_entry({encoded.address()}).call("POST", "/unsafe/x", "p").status, 502);
+    scripted_endpoint garbage{[](const std::string&, std::size_t) { return scripted_answer{"no answer\r\n\r\n"}; }};
+    EXPECT_EQ(direct_entry({garbage.address()}).call("POST", "/unsafe/x", "p").status, 502);
+}
+
+// Guards against an answer without a length that is taken for whole after a reset.
+TEST(forwarding_test, an_unframed_answer_ends_with_an_orderly_close_only) {
+    const auto unframed = [](const std::string& request) {
+        return "HTTP/1.1 200 OK\r\nX-Pomelohoist-Attempt-Id: " + field_of(request, "X-Pomelohoist-Attempt-Id") +
+               "\r\nX-Pomelohoist-Response-Stamp: signed\r\n\r\nwhole";
+    };
+    scripted_endpoint closes{[&unframed](const std::string& request, std::size_t) {
+        return scripted_answer{unframed(request), {}, true};
+    }};
+    const http_answer whole = direct_entry({closes.address()}).call("POST", "/unsafe/x", "p");
+    EXPECT_EQ(whole.status, 200);
+    EXPECT_EQ(whole.body, "whole");
+    scripted_endpoint resets{[&unframed](const std::string& request, std::size_t) {
+        return scripted_answer{unframed(request), {}, false, true};
+    }};
+    EXPECT_EQ(direct_entry({resets.address()}).call("POST", "/unsafe/x", "p").status, 502);
+}
+
+// Guards against events that are lost, doubled or torn where a stream goes on at another endpoint.
+TEST(forwarding_test, a_broken_stream_goes_on_elsewhere) {
+    const auto breaks_or_resumes = [](const std::string& request, std::size_t) {
+        const std::string after = field_of(request, "Last-Event-Id");
+        if (after.empty()) {
+            return scripted_answer{stream_head(request) + chunk(event(1) + event(2) + "id: 3\nda"), {}, true};
+        }
+        std::string rest;
+        for (int id = std::stoi(after) + 1; id <= 4; ++id) {
+            rest += chunk(event(id));
+        }
+        return scripted_answer{stream_head(request) + rest + "0\r\n\r\n"};
+    };
+    scripted_endpoint first{breaks_or_resumes};
+    scripted_endpoint second{breaks_or_resumes};
+    direct_entry entry{{first.address(), second.address()}};
+    const http_answer answer = entry.call("POST", "/stream/x", "p");
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, event(1) + event(2) + event(3) + event(4));
+    ASSERT_EQ(first.requests().size() + second.requests().size(), 2U);
+}
+
+// Guards against a stream that ends early and looks complete.
+TEST(forwarding_test, a_stream_that_cannot_go_on_ends_visibly) {
+    scripted_endpoint breaks{[](const std::string& request, std::size_t) {
+        return scripted_answer{stream_head(request) + chunk(event(1)), {}, true};
+    }};
+    direct_entry entry{{breaks.address()}};
+    const http_answer answer = entry.call("POST", "/stream/x", "p");
+    EXPECT_EQ(answer.body, event(1));
+    EXPECT_FALSE(answer.complete);
+}
+
+// Guards against work at an endpoint for a caller that has left.
+TEST(forwarding_test, a_caller_that_leaves_ends_the_work) {
+    scripted_endpoint hangs{[](const std::string& request, std::size_t) {
+        return scripted_answer{stream_head(request) + chunk(event(1)), {}, false, false, true};
+    }};
+    direct_entry entry{{hangs.address()}};
+    entry.call("POST", "/stream/x", "p", {}, [](const std::string&) { return false; });
+    for (int i = 0; i < 50 && !hangs.saw_caller_leave(); ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    EXPECT_TRUE(hangs.saw_caller_leave());
+}
+
+// Guards against a request that is held past its time.
+TEST(forwarding_test, a_silent_endpoint_is_given_up_at_the_deadline) {
+    scripted_endpoint silent{[](const std::string&, std::size_t) { return scripted_answer{"", {}, false, false, true}; }};
+    direct_entry entry{{silent.address()}};
+    const auto begin = std::chrono::steady_clock::now();
+    const http_answer answer = entry.call("POST", "/unsafe/x", "p", {{"X-Pomelohoist-Deadline-Ms", "300"}});
+    const auto taken = std::chrono::steady_clock::now() - begin;
+    EXPECT_EQ(answer.status, 504);
+    EXPECT_LT(taken, std::chrono::milliseconds{800});
+}
+
+// Guards against a stopping entry that takes a request on a kept connection and is killed within it.
+TEST(forwarding_test, a_stopping_entry_refuses_late_requests) {
+    scripted_endpoint endpoint{good};
+    direct_entry entry{{endpoint.address()}};
+    entry.front.begin_closing();
+    EXPECT_EQ(entry.call("GET", "/safe/x").status, 200);
+    entry.service.refuse_all();
+    const http_answer late = entry.call("POST", "/unsafe/x", "p");
+    EXPECT_EQ(late.status, 503);
+    EXPECT_EQ(late.headers.count("Retry-After"), 1U);
+    EXPECT_EQ(endpoint.requests().size(), 1U);
+}
+
+// Guards against a caller that waits for an endpoint that cannot serve it.
+TEST(forwarding_test, nothing_is_sent_to_an_endpoint_that_leaves) {
+    scripted_endpoint endpoint{good};
+    direct_entry entry{{endpoint.address()}};
+    entry.shared.take_endpoints({2, {{"i-0", "s", endpoint.address(), "dc", 4, true}}});
+    EXPECT_EQ(entry.call("GET", "/safe/x").status, 503);
+    EXPECT_TRUE(endpoint.requests().empty());
+}
+
+} // namespace
+} // namespace pomelohoist
--- /dev/null
+++ b/tests/support/row_store.cpp
@@ -0,0 +1,223 @@
+#include "support/row_store.h"
+
+#include "platform/base64.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/URI.h>
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <functional>
+
+namespace pomelohoist::test_support {
+
+namespace {
+
+using nlohmann::json;
+using serve_function = std::function<void(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&)>;
+
+class store_handler : public Poco::Net::HTTPRequestHandler {
+  public:
+    explicit store_handler(const serve_function& served) : function(served) {}
+    void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override {
+        this->function(request, response);
+    }
+
+  private:
+    const serve_function& function;
+};
+
+class store_factory : public Poco::Net::HTTPRequestHandlerFactory {
+  public:
+    explicit store_factory(serve_function served) : function(std::move(served)) {}
+    Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest& /*request*/) override {
+        return new store_handler{this->function};
+    }
+
+  private:
+    serve_function function;
+};
+
+} // namespace
+
+row_store::row_store() : socket(Poco::Net::SocketAddress{"127.0.0.1", 0}) {
+    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+    params->setMaxThreads(16);
+    params->setThreadIdleTime(Poco::Timespan{1, 0});
+    params->setKeepAliveTimeout(Poco::Timespan{5, 0});
+    this->pool = std::make_unique<Poco::ThreadPool>(2, 16);
+    this->server = std::make_unique<Poco::Net::HTTPServer>(
+        new store_factory{[this](auto& request, auto& response) { this->serve(request, response); }}, *this->pool,
+        this->socket, params);
+    this->server->start();
+}
+
+row_store::~row_store() {
+    this->stopping = true;
+    this->changed.notify_all();
+    this->server->stopAll(true);
+    this->pool->joinAll();
+}
+
+net_address row_store::address() const {
+    return {"127.0.0.1", this->socket.address().port()};
+}
+
+void row_store::write(const row_key& place, const std::string& value, bool is_removed) {
+    this->rows[place] = {value, this->version, is_removed};
+    this->changed.notify_all();
+}
+
+void row_store::put(const std::string& table, const std::string& key, const std::string& value) {
+    const std::lock_guard lock{this->mutex};
+    ++this->version;
+    this->write({table, key}, value, false);
+}
+
+void row_store::remove(const std::string& table, const std::string& key) {
+    const std::lock_guard lock{this->mutex};
+    ++this->version;
+    this->write({table, key}, "", true);
+}
+
+std::string row_store::value_of(const std::string& table, const std::string& key) const {
+    const std::lock_guard lock{this->mutex};
+    const auto found = this->rows.find({table, key});
+    return found != this->rows.end() && !found->second.is_removed ? found->second.value : "";
+}
+
+void row_store::drop_history() {
+    const std::lock_guard lock{this->mutex};
+    this->oldest = ++this->version;
+}
+
+void row_store::serve(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) {
+    ++this->call_count;
+    const store_mood now = this->mood;
+    auto& connection = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+    if (now == store_mood::resets) {
+        connection.setLinger(true, 0);
+        connection.close();
+        return;
+    }
+    if (now == store_mood::busy || now == store_mood::limits) {
+        response.setStatus(now == store_mood::busy ? Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE
+                                                   : Poco::Net::HTTPResponse::HTTP_TOO_MANY_REQUESTS);
+        response.setContentLength(0);
+        response.send();
+        return;
+    }
+    std::string body;
+    if (request.hasContentLength()) {
+        Poco::StreamCopier::copyToString(request.stream(), body);
+    }
+    const Poco::URI uri{request.getURI()};
+    std::map<std::string, std::string> query;
+    for (const auto& [name, value] : uri.getQueryParameters()) {
+        query[name] = value;
+    }
+    const auto [status, text] = this->answer(uri.getPath(), query, body);
+    if (now == store_mood::loses) {
+        connection.shutdown();
+        return;
+    }
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    response.setContentType("application/json");
+    if (now == store_mood::misframes) {
+        response.setContentLength(static_cast<std::streamsize>(text.size() + 10));
+        response.setKeepAlive(false);
+        response.send() << text;
+        return;
+    }
+    response.sendBuffer(text.data(), text.size());
+}
+
+std::pair<int, std::string> row_store::answer(const std::string& path,
+                                              const std::map<std::string, std::string>& query,
+                                              const std::string& body) {
+    if (path == "/-/rows-tx") {
+        return this->transact(body);
+    }
+    if (path == "/-/rows-get") {
+        return this->read(query);
+    }
+    return path == "/-/rows-feed" ? this->follow(query) : std::pair<int, std::string>{404, "{}"};
+}
+
+std::pair<int, std::string> row_store::transact(const std::string& body) {
+    const json call = json::parse(body);
+    const std::lock_guard lock{this->mutex};
+    for (const json& wanted : call.at("expected_rev")) {
+        const auto found = this->rows.find({wanted.at("table"), wanted.at("key")});
+        const std::uint64_t present = found != this->rows.end() && !found->second.is_removed ? found->second.version : 0;
+        if (present != wanted.at("ver").get<std::uint64_t>()) {
+            return {412, json{{"ver", this->version}, {"rows", json::array()}}.dump()};
+        }
+    }
+    ++this->version;
+    for (const json& row : call.at("set_keys")) {
+        if (row.at("table") == "op" || row.at("table") == "servers") {
+            return {403, "{}"};
+        }
+        this->write({row.at("table"), row.at("key")}, decode_base64(row.at("value")), false);
+    }
+    for (const json& row : call.at("remove")) {
+        this->write({row.at("table"), row.at("key")}, "", true);
+    }
+    return {200, json{{"ver", this->version}, {"now_ms", 1}}.dump()};
+}
+
+std::pair<int, std::string> row_store::read(const std::map<std::string, std::string>& query) {
+    const std::string table = query.at("table");
+    const std::string from = query.contains("from") ? query.at("from") : "";
+    constexpr std::size_t page = 3; // small, so that tests read several pages
+    const std::lock_guard lock{this->mutex};
+    json found = json::array();
+    bool has_more = false;
+    for (const auto& [place, content] : this->rows) {
+        if (place.first != table || content.is_removed || place.second < from) {
+            continue;
+        }
+        if (found.size() == page) {
+            has_more = true;
+            break;
+        }
+        found.push_back({{"table", table}, {"part", ""}, {"key", place.second},
+                         {"value", encode_base64(content.value)}, {"ver", content.version}});
+    }
+    return {200, json{{"rows", found}, {"has_more", has_more}, {"ver", this->version}, {"now_ms", 1}}.dump()};
+}
+
+std::pair<int, std::string> row_store::follow(const std::map<std::string, std::string>& query) {
+    const std::string table = query.at("table");
+    const std::uint64_t after = std::stoull(query.at("after_rev"));
+    std::unique_lock lock{this->mutex};
+    json found = json::array();
+    const auto collect = [&] {
+        for (const auto& [place, content] : this->rows) {
+            if (place.first == table && content.version > after) {
+                json row{{"table", table}, {"part", ""}, {"key", place.second}, {"ver", content.version}};
+                if (content.is_removed) {
+                    row["deleted"] = true;
+                } else {
+                    row["value"] = encode_base64(content.value);
+                }
+                found.push_back(std::move(row));
+            }
+        }
+        return !found.empty();
+    };
+    if (after < this->oldest) {
+        return {410, "{}"};
+    }
+    this->changed.wait_for(lock, std::chrono::milliseconds{std::stoul(query.at("wait_ms"))},
+                           [&] { return this->stopping.load() || collect(); });
+    return {200, json{{"rows", found}, {"ver", this->version}, {"now_ms", 1}}.dump()};
+}
+
+} // namespace pomelohoist::test_support
--- /dev/null
+++ b/tests/support/row_store.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <pomelohoist/types.h>
+
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// A stand-in for the platform's store that speaks its calls about rows: transactions, ranges, changes.
+namespace pomelohoist::test_support {
+
+/// How the store treats calls.
+enum class store_mood : std::uint8_t {
+    serves,
+    busy,      ///< 503, nothing is done
+    limits,    ///< 429
+    resets,    ///< the connection is reset before anything is done
+    loses,     ///< the call is done, its answer is lost
+    misframes, ///< the answer is cut off
+    count
+};
+
+class row_store {
+  public:
+    row_store();
+    ~row_store();
+    row_store(const row_store&) = delete;
+    row_store& operator=(const row_store&) = delete;
+
+    [[nodiscard]] net_address address() const;
+    /// Writes a row as the platform itself does.
+    void put(const std::string& table, const std::string& key, const std::string& value);
+    void remove(const std::string& table, const std::string& key);
+    [[nodiscard]] std::string value_of(const std::string& table, const std::string& key) const;
+    /// Forgets which rows have changed until now.
+    void drop_history();
+    void set_mood(store_mood next) { this->mood = next; }
+    [[nodiscard]] std::uint64_t calls() const { return this->call_count; }
+
+  private:
+    struct row {
+        std::string value;
+        std::uint64_t version{0};
+        bool is_removed{false};
+    };
+    using row_key = std::pair<std::string, std::string>; ///< table, key
+
+    void serve(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response);
+    std::pair<int, std::string> answer(const std::string& path, const std::map<std::string, std::string>& query,
+                                       const std::string& body);
+    std::pair<int, std::string> transact(const std::string& body);
+    std::pair<int, std::string> read(const std::map<std::string, std::string>& query);
+    std::pair<int, std::string> follow(const std::map<std::string, std::string>& query);
+    void write(const row_key& place, const std::string& value, bool is_removed);
+
+    mutable std::mutex mutex;
+    std::condition_variable changed;
+    std::map<row_key, row> rows;
+    std::uint64_t version{0};
+    std::uint64_t oldest{0}; ///< changes up to here are forgotten
+    std::atomic<store_mood> mood{store_mood::serves};
+    std::atomic<std::uint64_t> call_count{0};
+    std::atomic<bool> stopping{false};
+    Poco::Net::ServerSocket socket;
+    std::unique_ptr<Poco::ThreadPool> pool;
+    std::unique_ptr<Poco::Net::HTTPServer> server;
+};
+
+} // namespace pomelohoist::test_support
--- /dev/null
+++ b/tests/support/scripted_endpoint.cpp
@@ -0,0 +1,146 @@
+#include "support/scripted_endpoint.h"
+
+#include <Poco/Exception.h>
+#include <Poco/String.h>
+
+#include <array>
+#include <csignal>
+#include <sstream>
+#include <utility>
+
+namespace pomelohoist::test_support {
+
+namespace {
+
+constexpr long poll_us = 20000;
+
+/// @returns the length of the whole request at the front, or 0 while it is incomplete
+std::size_t request_length(const std::string& received) {
+    const std::size_t end = received.find("\r\n\r\n");
+    if (end == std::string::npos) {
+        return 0;
+    }
+    const std::string length = field_of(received.substr(0, end + 2), "Content-Length");
+    const std::size_t total = end + 4 + (length.empty() ? 0 : std::stoul(length));
+    return received.size() >= total ? total : 0;
+}
+
+} // namespace
+
+std::string field_of(const std::string& request, const std::string& name) {
+    std::istringstream lines{request};
+    for (std::string line; std::getline(lines, line) && line != "\r";) {
+        const std::size_t colon = line.find(':');
+        if (colon != std::string::npos && Poco::icompare(line.substr(0, colon), name) == 0) {
+            return Poco::trim(line.substr(colon + 1));
+        }
+    }
+    return "";
+}
+
+std::string whole_answer_to(const std::string& request, int status, const std::string& body,
+                            const std::string& more_fields) {
+    const std::string id = field_of(request, "X-Pomelohoist-Attempt-Id");
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\nX-Pomelohoist-Attempt-Id: " + id +
+           "\r\nX-Pomelohoist-Response-Stamp: signed\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
+           more_fields + "\r\n" + body;
+}
+
+scripted_endpoint::scripted_endpoint(script answers)
+    : answer_of(std::move(answers)), listener(Poco::Net::SocketAddress{"127.0.0.1", 0}) {
+    std::signal(SIGPIPE, SIG_IGN);
+    this->threads.emplace_back([this] { this->accept_loop(); });
+}
+
+scripted_endpoint::~scripted_endpoint() {
+    this->stopping = true;
+    this->threads.front().join();
+    const std::vector<std::thread> others = [this] {
+        const std::lock_guard lock{this->mutex};
+        std::vector<std::thread> taken;
+        taken.swap(this->threads);
+        return taken;
+    }();
+    for (std::size_t i = 1; i < others.size(); ++i) {
+        const_cast<std::thread&>(others[i]).join();
+    }
+}
+
+net_address scripted_endpoint::address() const {
+    return {"127.0.0.1", this->listener.address().port()};
+}
+
+std::vector<std::string> scripted_endpoint::requests() const {
+    const std::lock_guard lock{this->mutex};
+    return this->seen;
+}
+
+void scripted_endpoint::accept_loop() {
+    while (!this->stopping) {
+        if (!this->listener.poll(Poco::Timespan{0, poll_us}, Poco::Net::Socket::SELECT_READ)) {
+            continue;
+        }
+        Poco::Net::StreamSocket socket = this->listener.acceptConnection();
+        ++this->accepted;
+        const std::lock_guard lock{this->mutex};
+        this->threads.emplace_back([this, socket] { this->serve(socket); });
+    }
+}
+
+void scripted_endpoint::serve(Poco::Net::StreamSocket socket) {
+    std::string received;
+    std::array<char, 4096> buffer{};
+    try {
+        while (!this->stopping) {
+            if (!socket.poll(Poco::Timespan{0, poll_us}, Poco::Net::Socket::SELECT_READ)) {
+                continue;
+            }
+            const int count = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+            if (count <= 0) {
+                return;
+            }
+            received.append(buffer.data(), static_cast<std::size_t>(count));
+            while (const std::size_t length = request_length(received)) {
+                const std::string request = received.substr(0, length);
+                received.erase(0, length);
+                if (!this->answer(socket, request)) {
+                    return;
+                }
+            }
+        }
+    } catch (const Poco::Exception&) {
+        // The other side has reset the connection.
+        this->left = true;
+    }
+}
+
+bool scripted_endpoint::answer(Poco::Net::StreamSocket& socket, const std::string& request) {
+    std::size_t number = 0;
+    {
+        const std::lock_guard lock{this->mutex};
+        number = this->seen.size();
+        this->seen.push_back(request);
+    }
+    const scripted_answer next = this->answer_of(request, number);
+    std::this_thread::sleep_for(next.delay);
+    std::size_t sent = 0;
+    while (sent < next.bytes.size()) {
+        sent += static_cast<std::size_t>(
+            socket.sendBytes(next.bytes.data() + sent, static_cast<int>(next.bytes.size() - sent)));
+    }
+    while (next.hangs && !this->stopping) {
+        if (socket.poll(Poco::Timespan{0, poll_us}, Poco::Net::Socket::SELECT_READ) && socket.available() == 0) {
+            this->left = true;
+            return false;
+        }
+    }
+    if (next.resets) {
+        socket.setLinger(true, 0);
+        socket.close();
+    } else if (next.closes) {
+        socket.shutdown();
+    }
+    return !next.resets && !next.closes;
+}
+
+} // namespace pomelohoist::test_support
