--- a/src/balance/layer_planner.cpp
+++ b/src/balance/layer_planner.cpp
@@ -55,7 +55,7 @@
     }
 
     void run() {
-        for (std::uint32_t i = 0; i < max_changes_for_each_layer && this->peak() > this->limits.good_enough; ++i) {
+        for (std::uint32_t i = 0; i<max_changes_for_each_layer&& this->peak()> this->limits.good_enough; ++i) {
             const std::optional<layer_change> change = this->find();
             if (!change) {
                 return;
@@ -180,8 +180,8 @@
     }
 
     std::optional<layer_change> find() {
-        const auto from = static_cast<std::uint32_t>(
-            std::max_element(this->rank_load.begin(), this->rank_load.end()) - this->rank_load.begin());
+        const auto from = static_cast<std::uint32_t>(std::max_element(this->rank_load.begin(), this->rank_load.end()) -
+                                                     this->rank_load.begin());
         double before = 0.0;
         for (const double load : this->rank_load) {
             before += eighth_power(load);
@@ -224,7 +224,7 @@
     std::span<std::uint32_t> slots;
     layer_plan_limits limits;
     std::vector<std::uint32_t> original;
-    std::vector<double> loads; ///< relative to the mean load of a rank
+    std::vector<double> loads;                     ///< relative to the mean load of a rank
     std::vector<std::vector<std::uint32_t>> hosts; ///< ranks of each expert
     std::vector<double> rank_load;
     // Scratch space of one evaluation; empty between calls.
@@ -251,8 +251,7 @@
                                        std::span<const double> loads, const layer_plan_limits& limits) {
     std::vector<std::uint32_t> planned(slots.begin(), slots.end());
     for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
-        layer_search search{shape,
-                            std::span{planned}.subspan(layer * shape.slots_per_layer(), shape.slots_per_layer()),
+        layer_search search{shape, std::span{planned}.subspan(layer * shape.slots_per_layer(), shape.slots_per_layer()),
                             loads.subspan(std::size_t{layer} * shape.experts, shape.experts), limits};
         search.run();
     }
--- a/src/balance/layer_planner.h
+++ b/src/balance/layer_planner.h
@@ -10,9 +10,9 @@
 namespace pomelohoist {
 
 struct layer_plan_limits {
-    std::uint32_t max_new{0};     ///< experts of a layer that one plan may add to a rank
-    double least_gain{0.0};       ///< decrease of the largest load, relative to the mean, that one copy must bring
-    double good_enough{0.0};      ///< largest load, relative to the mean, at which a layer is left alone
+    std::uint32_t max_new{0}; ///< experts of a layer that one plan may add to a rank
+    double least_gain{0.0};   ///< decrease of the largest load, relative to the mean, that one copy must bring
+    double good_enough{0.0};  ///< largest load, relative to the mean, at which a layer is left alone
 
     friend bool operator==(const layer_plan_limits&, const layer_plan_limits&) = default;
 };
@@ -22,7 +22,8 @@
                                 std::span<const double> loads);
 
 /// Lowers the largest load of a rank, layer by layer, by small changes from the present placement. A rank that is far
-/// above the others in one layer costs time there, whatever its sum over the layers; `adaptive_balancer` evens the sums.
+/// above the others in one layer costs time there, whatever its sum over the layers; `adaptive_balancer` evens the
+/// sums.
 /// @param slots experts in the order layer, rank, slot
 /// @param loads expected tokens in the order layer, expert
 /// @returns the new slots; equal to `slots` where no change pays
--- a/src/common/daemon.cpp
+++ b/src/common/daemon.cpp
@@ -101,8 +101,7 @@
     }
     spdlog::init_thread_pool(log_queue_lines, 1);
     return std::make_shared<spdlog::async_logger>("pomelohoist", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
-                                                  spdlog::thread_pool(),
-                                                  spdlog::async_overflow_policy::overrun_oldest);
+                                                  spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
 }
 
 structured_log make_daemon_log(const settings& checked) {
--- a/src/direct/caller_front.cpp
+++ b/src/direct/caller_front.cpp
@@ -145,10 +145,10 @@
     params->setTimeout(to_poco(config::caller_read_timeout));
     params->setKeepAlive(true);
     params->setKeepAliveTimeout(to_poco(config::caller_read_timeout));
-    this->pool = std::make_unique<Poco::ThreadPool>(1, page_threads, thread_idle_seconds,
-                                                    config::caller_thread_stack_bytes);
-    this->server = std::make_unique<Poco::Net::HTTPServer>(new page_factory{std::move(render)}, *this->pool,
-                                                           this->socket, params);
+    this->pool =
+        std::make_unique<Poco::ThreadPool>(1, page_threads, thread_idle_seconds, config::caller_thread_stack_bytes);
+    this->server =
+        std::make_unique<Poco::Net::HTTPServer>(new page_factory{std::move(render)}, *this->pool, this->socket, params);
     this->server->start();
 }
 
--- a/src/direct/direct_daemon.cpp
+++ b/src/direct/direct_daemon.cpp
@@ -29,11 +29,11 @@
         : own{checked.text("process.name"), checked.address("inner.address")}, shared(context.time, context.log),
           board(context.time), store(platform.connect_store(checked, context.log)),
           link({own, true, platform.seeds(checked)}, shared, board, nullptr, context.time, context.log),
-          follower(*store, own, true, shared, link, context.time, context.log, context.metrics), avoidance(context.time),
-          budget(read_retry_limits(checked), context.time), connections(context.time),
+          follower(*store, own, true, shared, link, context.time, context.log, context.metrics),
+          avoidance(context.time), budget(read_retry_limits(checked), context.time), connections(context.time),
           places(shared, board, link, avoidance, context.random, context.time),
-          forwarding{platform.headers(), places,         connections,  avoidance,   budget,
-                     board,              context.random, context.time, context.log, context.metrics},
+          forwarding{platform.headers(), places,       connections, avoidance,      budget, board,
+                     context.random,     context.time, context.log, context.metrics},
           service(forwarding, shared), front(checked.address("http.address"), service, shared, context.time) {}
 
     const peer_record own;
@@ -134,8 +134,14 @@
         {"http.metrics_address", setting_type::address, true, "", "address of the metrics page", {}},
         {"inner.address", setting_type::address, true, "", "address for other processes, UDP and TCP", {}},
         {"retries.ratio", setting_type::number, false, "0.2", "repeated sends allowed for each request", {}, 0.0},
-        {"retries.slack", setting_type::number, false, "10", "repeated sends allowed beyond the ratio, of all entries "
-                                                             "together in one window", {}, 0.0},
+        {"retries.slack",
+         setting_type::number,
+         false,
+         "10",
+         "repeated sends allowed beyond the ratio, of all entries "
+         "together in one window",
+         {},
+         0.0},
         {"retries.window_ms", setting_type::duration_ms, false, "10000", "window of the bound on repeated sends", {}},
     };
     const settings_schema more = this->platform.schema();
--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -41,8 +41,7 @@
     body["error"]["kind"] = row.name;
     body["error"]["message"] = reason.reason;
     body["error"]["not_run"] = row.not_run;
-    sink.send_whole(
-        {row.http_status, headers, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)});
+    sink.send_whole({row.http_status, headers, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)});
 }
 
 direct_forwarder::direct_forwarder(const forwarding_parts& shared, const direct_request& wanted, answer_sink& answer,
@@ -115,8 +114,8 @@
         this->connection = this->parts.connections.take(endpoint.instance);
     }
     if (!this->connection) {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(this->request.deadline -
-                                                                                this->parts.time.now());
+        const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(this->request.deadline - this->parts.time.now());
         if (left <= std::chrono::milliseconds{0}) {
             return attempt_end::out_of_time;
         }
@@ -157,8 +156,8 @@
 
 steady_time direct_forwarder::answer_limit() const {
     const steady_time now = this->parts.time.now();
-    const bool can_repeat = this->request.way->repeat == repeat_rule::safe &&
-                            this->sends < this->request.way->max_endpoints;
+    const bool can_repeat =
+        this->request.way->repeat == repeat_rule::safe && this->sends < this->request.way->max_endpoints;
     if (!can_repeat) {
         return this->request.deadline;
     }
--- a/src/direct/direct_forwarder.h
+++ b/src/direct/direct_forwarder.h
@@ -59,10 +59,10 @@
   private:
     /// How one send ended.
     enum class attempt_end : std::uint8_t {
-        answered,     ///< the caller has its answer, or the part of it that there will be
-        refused,      ///< the endpoint did not run the request
-        unreached,    ///< nothing was sent
-        failed,       ///< it may have run
+        answered,        ///< the caller has its answer, or the part of it that there will be
+        refused,         ///< the endpoint did not run the request
+        unreached,       ///< nothing was sent
+        failed,          ///< it may have run
         endpoint_failed, ///< it ran, and the endpoint answered with an error
         caller_gone,
         out_of_time,
--- a/src/direct/direct_messages.h
+++ b/src/direct/direct_messages.h
@@ -27,8 +27,8 @@
     friend bool operator==(const rank_note&, const rank_note&) = default;
 };
 
-/// One-way datagram: who is there, what is in force there, which load it has placed. Sent again and again, so a lost one
-/// needs no answer.
+/// One-way datagram: who is there, what is in force there, which load it has placed. Sent again and again, so a lost
+/// one needs no answer.
 struct peer_news {
     static constexpr message_type type = message_type::peer_news;
     std::string sender;
--- a/src/direct/direct_request.cpp
+++ b/src/direct/direct_request.cpp
@@ -16,8 +16,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> connection_fields{
-    "connection",          "content-length", "expect",  "keep-alive",       "proxy-authenticate",
-    "proxy-authorization", "te",             "trailer", "transfer-encoding", "upgrade"};
+    "connection", "content-length",    "expect", "keep-alive", "proxy-authenticate", "proxy-authorization", "te",
+    "trailer",    "transfer-encoding", "upgrade"};
 
 constexpr const char* last_event_field = "Last-Event-Id";
 constexpr std::uint32_t lowest_importance = 9;
@@ -73,8 +73,8 @@
     if (way == nullptr) {
         return failure{error_kind::not_found, "no route in version " + std::to_string(seen.routing->version())};
     }
-    direct_request request{raw, seen.routing, way, raw.header(this->names.request_id).value_or(""), "", "",
-                           way->importance, arrived, {}};
+    direct_request request{
+        raw, seen.routing, way, raw.header(this->names.request_id).value_or(""), "", "", way->importance, arrived, {}};
     if (!way->is_public && seen.routing->has_workspaces()) {
         const workspace_keys* owner = seen.routing->find_workspace(raw.header(this->names.api_key).value_or(""));
         if (owner == nullptr) {
@@ -109,8 +109,7 @@
             return Poco::icompare(field.name, std::string{name}) == 0;
         });
         const bool is_replaced = !resume_after.empty() && Poco::icompare(field.name, last_event_field) == 0;
-        const bool is_dropped =
-            std::find(dropped.begin(), dropped.end(), Poco::toLower(field.name)) != dropped.end();
+        const bool is_dropped = std::find(dropped.begin(), dropped.end(), Poco::toLower(field.name)) != dropped.end();
         if (!is_own && !is_replaced && !is_dropped && !is_connection_field(field.name)) {
             head.add(field.name, field.value);
         }
--- a/src/direct/direct_service.cpp
+++ b/src/direct/direct_service.cpp
@@ -51,19 +51,15 @@
                                              {"kind", std::string{answer_of(reason.kind).name}},
                                              {"target", raw.target},
                                              {"reason", reason.reason}});
-    this->parts.metrics
-        .get_counter("direct_refused_total", "kind=\"" + std::string{answer_of(reason.kind).name} + "\"")
+    this->parts.metrics.get_counter("direct_refused_total", "kind=\"" + std::string{answer_of(reason.kind).name} + "\"")
         .add();
     send_own_failure(sink, reason, this->parts.random.next_fraction());
 }
 
 void direct_service::note(const direct_request& request, const forwarding_outcome& outcome) {
-    const auto taken =
-        std::chrono::duration_cast<std::chrono::milliseconds>(this->parts.time.now() - request.arrived);
+    const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(this->parts.time.now() - request.arrived);
     this->parts.metrics.get_histogram("direct_request_ms").record(static_cast<double>(taken.count()));
-    this->parts.metrics
-        .get_counter("direct_requests_total", "status=\"" + std::to_string(outcome.status) + "\"")
-        .add();
+    this->parts.metrics.get_counter("direct_requests_total", "status=\"" + std::to_string(outcome.status) + "\"").add();
     const view seen = this->shared.current();
     const auto age = this->shared.store_age();
     this->parts.log.info("request_done", {{"request", request.request_id},
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -40,9 +40,8 @@
                                              [](const endpoint_candidate& candidate) { return !candidate.was_tried; });
         return {std::nullopt, has_untried};
     }
-    const auto least = std::min_element(open.begin(), open.end(), [](const auto* left, const auto* right) {
-        return load_of(*left) < load_of(*right);
-    });
+    const auto least = std::min_element(
+        open.begin(), open.end(), [](const auto* left, const auto* right) { return load_of(*left) < load_of(*right); });
     const double bound = load_of(**least) + 1.0 / std::max((*least)->slots, 1U);
     std::erase_if(open, [bound](const auto* candidate) { return load_of(*candidate) >= bound; });
     return {open[random.next_below(open.size())]->index, false};
--- a/src/direct/endpoint_choice.h
+++ b/src/direct/endpoint_choice.h
@@ -13,12 +13,12 @@
 
 /// What is known of an endpoint when a request is placed.
 struct endpoint_candidate {
-    std::size_t index{0};     ///< position in the caller's list
-    std::uint32_t active{0};  ///< requests of all entries
-    std::uint32_t slots{1};   ///< requests that it processes at once
-    std::uint32_t places{1};  ///< requests that it may hold, the waiting ones included
-    bool is_avoided{false};   ///< has failed a short time ago
-    bool was_tried{false};    ///< by this request
+    std::size_t index{0};    ///< position in the caller's list
+    std::uint32_t active{0}; ///< requests of all entries
+    std::uint32_t slots{1};  ///< requests that it processes at once
+    std::uint32_t places{1}; ///< requests that it may hold, the waiting ones included
+    bool is_avoided{false};  ///< has failed a short time ago
+    bool was_tried{false};   ///< by this request
 
     friend bool operator==(const endpoint_candidate&, const endpoint_candidate&) = default;
 };
--- a/src/direct/endpoint_connection.cpp
+++ b/src/direct/endpoint_connection.cpp
@@ -43,9 +43,8 @@
 } // namespace
 
 std::optional<std::string> endpoint_answer::header(const std::string& name) const {
-    const auto found = std::find_if(this->headers.begin(), this->headers.end(), [&name](const auto& field) {
-        return Poco::icompare(field.name, name) == 0;
-    });
+    const auto found = std::find_if(this->headers.begin(), this->headers.end(),
+                                    [&name](const auto& field) { return Poco::icompare(field.name, name) == 0; });
     return found != this->headers.end() ? std::optional{found->value} : std::nullopt;
 }
 
@@ -192,8 +191,8 @@
 
 void endpoint_connection::note_reuse(const endpoint_answer& answer) {
     const std::optional<std::string> connection = answer.header("Connection");
-    this->can_reuse = this->body_framing != framing::until_close &&
-                      !(connection && Poco::icompare(*connection, "close") == 0);
+    this->can_reuse =
+        this->body_framing != framing::until_close && !(connection && Poco::icompare(*connection, "close") == 0);
     this->idle_limit = config::idle_connection_default;
     const std::optional<std::string> limit = answer.header("Keep-Alive");
     if (const std::optional<int> seconds = limit ? keep_alive_seconds(*limit) : std::nullopt) {
--- a/src/direct/endpoint_connection.h
+++ b/src/direct/endpoint_connection.h
@@ -44,9 +44,8 @@
 class endpoint_connection {
   public:
     /// @returns the connection, or `unreachable`
-    static result<std::unique_ptr<endpoint_connection>> open(const net_address& target,
-                                                             std::chrono::milliseconds timeout,
-                                                             const clock& time_source);
+    static result<std::unique_ptr<endpoint_connection>>
+    open(const net_address& target, std::chrono::milliseconds timeout, const clock& time_source);
     endpoint_connection(const Poco::Net::StreamSocket& connected, const clock& time_source);
 
     /// @returns false when the connection was lost
--- a/src/direct/peer_link.cpp
+++ b/src/direct/peer_link.cpp
@@ -29,8 +29,7 @@
 peer_link::peer_link(peer_link_options chosen, shared_view& in_force, load_board& loads, inner::stream_handler* other,
                      const clock& time_source, structured_log& process_log)
     : options(std::move(chosen)), shared(in_force), board(loads), next_handler(other), time(time_source),
-      log(process_log),
-      socket(to_poco(this->options.own.address), true), listener(this->options.own.address),
+      log(process_log), socket(to_poco(this->options.own.address), true), listener(this->options.own.address),
       // A restarted process must continue above the numbers of the one before it.
       next_sequence(static_cast<std::uint64_t>(this->time.now().time_since_epoch().count())) {}
 
--- a/src/direct/peer_link.h
+++ b/src/direct/peer_link.h
@@ -43,8 +43,8 @@
     friend bool operator==(const group_peer&, const group_peer&) = default;
 };
 
-/// Tells all known processes what is in force here, and pulls what is newer elsewhere. Each process therefore hears of a
-/// change that any of them has read from the store, also while the store refuses this one.
+/// Tells all known processes what is in force here, and pulls what is newer elsewhere. Each process therefore hears of
+/// a change that any of them has read from the store, also while the store refuses this one.
 class peer_link : public inner::stream_handler {
   public:
     /// Binds the sockets.
--- a/src/direct/place_queue.cpp
+++ b/src/direct/place_queue.cpp
@@ -41,8 +41,8 @@
     if (!choice.index) {
         return {choice.is_full ? place_outcome::full : place_outcome::no_endpoint, nullptr};
     }
-    return {place_outcome::placed, std::make_unique<endpoint_place>(seen.endpoints->endpoints[*choice.index],
-                                                                    this->board, this->peers)};
+    return {place_outcome::placed,
+            std::make_unique<endpoint_place>(seen.endpoints->endpoints[*choice.index], this->board, this->peers)};
 }
 
 place_result place_queue::acquire(const place_request& request, caller_watchpoint& caller) {
--- a/src/direct/routing_table.cpp
+++ b/src/direct/routing_table.cpp
@@ -34,9 +34,9 @@
             const route& candidate = this->content.routes[index];
             return std::pair<std::string_view, std::string_view>{candidate.host, candidate.prefix};
         };
-        const auto found = std::lower_bound(
-            this->routes_by_place.begin(), this->routes_by_place.end(), wanted,
-            [&place_of](std::uint32_t index, const auto& place) { return place_of(index) < place; });
+        const auto found =
+            std::lower_bound(this->routes_by_place.begin(), this->routes_by_place.end(), wanted,
+                             [&place_of](std::uint32_t index, const auto& place) { return place_of(index) < place; });
         if (found != this->routes_by_place.end() && place_of(*found) == wanted) {
             return &this->content.routes[*found];
         }
--- a/src/direct/store_follower.cpp
+++ b/src/direct/store_follower.cpp
@@ -10,8 +10,9 @@
 store_follower::store_follower(control_store& platform, peer_record own, bool may_lead, shared_view& in_force,
                                peer_link& link, const clock& time_source, structured_log& process_log,
                                metrics_registry& metrics)
-    : store(platform), self(std::move(own)), is_entry(may_lead), shared(in_force), peers(link), time(time_source), log(process_log),
-      calls(metrics.get_counter("store_calls_total")), failures(metrics.get_counter("store_failures_total")) {}
+    : store(platform), self(std::move(own)), is_entry(may_lead), shared(in_force), peers(link), time(time_source),
+      log(process_log), calls(metrics.get_counter("store_calls_total")),
+      failures(metrics.get_counter("store_failures_total")) {}
 
 store_follower::~store_follower() {
     this->stop();
@@ -58,8 +59,8 @@
     if (!this->is_entry) {
         return config::rank_view_stale_time;
     }
-    return config::view_stale_time + config::view_stale_step * std::min(this->peers.rank_among_live(),
-                                                                        config::view_stale_ranks);
+    return config::view_stale_time +
+           config::view_stale_step * std::min(this->peers.rank_among_live(), config::view_stale_ranks);
 }
 
 void store_follower::follow_loop() {
@@ -75,9 +76,13 @@
         const bool must_read = is_first || is_stale || (this->is_entry && !knows_all);
         if (must_read != this->is_reading) {
             this->is_reading = must_read;
-            this->log.info(must_read ? "store_reading_begun" : "store_reading_ended",
-                           {{"age_ms", age ? std::to_string(age->count()) : "none"},
-                            {"rank", std::to_string(this->peers.rank_among_live())}});
+            const std::vector<log_field> why{{"age_ms", age ? std::to_string(age->count()) : "none"},
+                                             {"rank", std::to_string(this->peers.rank_among_live())}};
+            if (must_read) {
+                this->log.info("store_reading_begun", why);
+            } else {
+                this->log.info("store_reading_ended", why);
+            }
             // What this process followed last may lie beyond the history that the store keeps.
             this->routing_revision.reset();
             this->endpoints_revision.reset();
--- a/src/direct/store_follower.h
+++ b/src/direct/store_follower.h
@@ -70,8 +70,8 @@
     std::optional<std::uint64_t> routing_revision;
     std::optional<std::uint64_t> endpoints_revision;
     std::map<std::string, endpoint_record> endpoints; ///< by instance, as this process read them
-    std::map<std::string, steady_time> missing;       ///< removed while the store was not to be trusted, and when to drop
-    bool is_unpublished{false};                       ///< `endpoints` has changed since it was published
+    std::map<std::string, steady_time> missing; ///< removed while the store was not to be trusted, and when to drop
+    bool is_unpublished{false};                 ///< `endpoints` has changed since it was published
     std::optional<steady_time> last_failure;
 
     std::atomic<bool> stopping{false};
--- a/src/ranks/map_coordinator.cpp
+++ b/src/ranks/map_coordinator.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 double mean_of(const std::vector<double>& values) {
-    return std::accumulate(values.begin(), values.end(), 0.0) / static_cast<double>(std::max<std::size_t>(values.size(), 1));
+    return std::accumulate(values.begin(), values.end(), 0.0) /
+           static_cast<double>(std::max<std::size_t>(values.size(), 1));
 }
 
 std::string rounded(double value) {
@@ -25,8 +26,8 @@
 map_coordinator::map_coordinator(rank_group& controlled, map_switcher& switching, const expert_shape& group_shape,
                                  const map_policy& tunables, const clock& time_source, structured_log& process_log,
                                  metrics_registry& metrics)
-    : group(controlled), switcher(switching), shape(group_shape), policy(tunables), time(time_source),
-      log(process_log), switches(metrics.get_counter("map_switches_total")), loads(group_shape.cells(), 0.0) {}
+    : group(controlled), switcher(switching), shape(group_shape), policy(tunables), time(time_source), log(process_log),
+      switches(metrics.get_counter("map_switches_total")), loads(group_shape.cells(), 0.0) {}
 
 bool map_coordinator::run_once() {
     const std::optional<std::vector<rank_state>> states = this->switcher.read_states();
@@ -47,8 +48,7 @@
     if (!this->observe(*states) || !is_free) {
         return true;
     }
-    const std::optional<std::vector<std::uint32_t>> planned =
-        this->learn_slots(*states) ? this->plan() : std::nullopt;
+    const std::optional<std::vector<std::uint32_t>> planned = this->learn_slots(*states) ? this->plan() : std::nullopt;
     if (!planned) {
         return true;
     }
@@ -81,8 +81,7 @@
     }
     this->last_counts = std::move(counts);
     const steady_time now = this->time.now();
-    const double elapsed =
-        this->observed_at ? std::chrono::duration<double>(now - *this->observed_at).count() : 0.0;
+    const double elapsed = this->observed_at ? std::chrono::duration<double>(now - *this->observed_at).count() : 0.0;
     this->observed_at = now;
     if (!has_last || elapsed <= 0.0) {
         return false;
--- a/src/ranks/map_coordinator.h
+++ b/src/ranks/map_coordinator.h
@@ -15,11 +15,11 @@
 namespace pomelohoist {
 
 struct map_policy {
-    double window_s{1.0};        ///< averaging time of the experts' loads
-    double least_gain{0.004};    ///< see `layer_plan_limits`
-    double good_enough{1.06};    ///< see `layer_plan_limits`
-    double switch_gain{0.03};    ///< decrease of the mean peak that a switch must bring
-    std::uint32_t max_new{0};    ///< see `layer_plan_limits`
+    double window_s{1.0};     ///< averaging time of the experts' loads
+    double least_gain{0.004}; ///< see `layer_plan_limits`
+    double good_enough{1.06}; ///< see `layer_plan_limits`
+    double switch_gain{0.03}; ///< decrease of the mean peak that a switch must bring
+    std::uint32_t max_new{0}; ///< see `layer_plan_limits`
 
     friend bool operator==(const map_policy&, const map_policy&) = default;
 };
--- a/src/ranks/map_switcher.cpp
+++ b/src/ranks/map_switcher.cpp
@@ -153,17 +153,17 @@
     const std::uint64_t epoch = states.front().epoch;
     const std::uint64_t prepared = states.front().prepared_version;
     const bool all_prepared = prepared != 0 && std::all_of(states.begin(), states.end(), [prepared](const auto& state) {
-        return state.prepared_version == prepared;
-    });
+                                  return state.prepared_version == prepared;
+                              });
     if (armed) {
-        this->log.info("map_switch_resumed", {{"version", std::to_string(armed->version)},
-                                              {"step", std::to_string(armed->step)}});
+        this->log.info("map_switch_resumed",
+                       {{"version", std::to_string(armed->version)}, {"step", std::to_string(armed->step)}});
         // A hold at another step is a stray one; it may end as soon as all ranks are armed, too.
         this->complete(epoch, *armed, held.value_or(held_step{0, armed->step}));
     } else if (all_prepared) {
         // Some rank may have got an order to arm that is not carried out yet, so the hold must not end without it.
-        this->log.info("map_switch_resumed", {{"version", std::to_string(prepared)},
-                                              {"step", std::to_string(held->step)}});
+        this->log.info("map_switch_resumed",
+                       {{"version", std::to_string(prepared)}, {"step", std::to_string(held->step)}});
         this->complete(epoch, {prepared, held->step}, *held);
     } else {
         // Ranks are armed only after all were prepared, so nobody has ordered a switch at this step.
@@ -224,9 +224,8 @@
             return outcome::lost;
         }
         const auto states = this->read_states(epoch);
-        if (states && std::all_of(states->begin(), states->end(), [version](const rank_state& state) {
-                return state.prepared_version == version;
-            })) {
+        if (states && std::all_of(states->begin(), states->end(),
+                                  [version](const rank_state& state) { return state.prepared_version == version; })) {
             return outcome::switched;
         }
     }
@@ -254,8 +253,7 @@
     return std::nullopt;
 }
 
-map_switcher::outcome map_switcher::complete(std::uint64_t epoch, const armed_switch& wanted,
-                                              const held_step& hold) {
+map_switcher::outcome map_switcher::complete(std::uint64_t epoch, const armed_switch& wanted, const held_step& hold) {
     this->name_step(wanted.step);
     const rank_order arm = this->order_of(rank_order_kind::arm, epoch, wanted);
     std::vector<bool> is_armed(this->group.size(), false);
--- a/src/ranks/map_switcher.h
+++ b/src/ranks/map_switcher.h
@@ -26,8 +26,9 @@
 /// later, so every order is repeated until the rank's own report shows its effect, and a switch of which a rank may be
 /// armed is only ever completed, never taken back.
 ///
-/// A coordinator that takes over first shows its fencing token to every rank, so that an earlier one, which may only have
-/// stood still, can give no further orders. Versions contain the token: two coordinators never use one for two maps.
+/// A coordinator that takes over first shows its fencing token to every rank, so that an earlier one, which may only
+/// have stood still, can give no further orders. Versions contain the token: two coordinators never use one for two
+/// maps.
 ///
 /// Why late orders are harmless: `arm` is refused once its step has begun, and the step begins only when all ranks are
 /// armed. `prepare` is refused for an old version. `hold` and `go` name a step, and no step is named twice: a new
@@ -47,8 +48,8 @@
     /// Must be called when this process takes over a group, with the fencing token that it got.
     void take_over(std::uint64_t fencing_token);
     /// Reads all ranks.
-    /// @returns the states in the order of the ranks, or nothing when one does not answer, is not open, or is in another
-    /// epoch
+    /// @returns the states in the order of the ranks, or nothing when one does not answer, is not open, or is in
+    /// another epoch
     std::optional<std::vector<rank_state>> read_states();
     /// Completes or ends what an earlier coordinator has left behind.
     /// @returns false when the group is not free for a new switch
@@ -86,7 +87,7 @@
     std::uint64_t token{0};
     std::uint64_t seen_epoch{0};
     bool is_fenced_off{false};
-    bool has_fenced{false};         ///< all ranks have seen the token in this epoch
+    bool has_fenced{false}; ///< all ranks have seen the token in this epoch
     std::uint64_t next_version{0};
     std::uint64_t named_until{0}; ///< no earlier switch has named a step beyond this one
     bool must_learn_steps{true};  ///< `named_until` is not known yet
--- a/src/ranks/rank_daemon.cpp
+++ b/src/ranks/rank_daemon.cpp
@@ -81,9 +81,9 @@
             this->engine =
                 std::make_unique<shared_engine>(this->platform.connect_engine(this->values.address("engine.address")));
             this->server = std::make_unique<rank_server>(*this->engine);
-            this->link = std::make_unique<peer_link>(
-                peer_link_options{own, false, this->platform.seeds(this->values)}, *this->shared, *this->board,
-                this->server.get(), this->context.time, this->context.log);
+            this->link = std::make_unique<peer_link>(peer_link_options{own, false, this->platform.seeds(this->values)},
+                                                     *this->shared, *this->board, this->server.get(),
+                                                     this->context.time, this->context.log);
         } catch (const Poco::Exception& error) {
             return failure{error_kind::invalid_settings, "the address cannot be bound: " + error.displayText()};
         }
@@ -178,9 +178,9 @@
         this->switcher->take_over(*fence);
         map_policy policy;
         policy.max_new = this->max_new;
-        this->coordinator = std::make_unique<map_coordinator>(*this->group, *this->switcher, *shape, policy,
-                                                              this->context.time, this->context.log,
-                                                              this->context.metrics);
+        this->coordinator =
+            std::make_unique<map_coordinator>(*this->group, *this->switcher, *shape, policy, this->context.time,
+                                              this->context.log, this->context.metrics);
         this->context.log.info("coordination_begun", {{"group", own.group}, {"fence", std::to_string(*fence)}});
         return true;
     }
--- a/src/ranks/remote_rank.cpp
+++ b/src/ranks/remote_rank.cpp
@@ -58,8 +58,8 @@
 }
 
 result<std::vector<std::uint64_t>> remote_rank::read_counts() {
-    const result<inner::rank_report> report =
-        call_stream<inner::rank_report>(this->address, this->name, inner::rank_query{true, false}, config::rank_call_timeout);
+    const result<inner::rank_report> report = call_stream<inner::rank_report>(
+        this->address, this->name, inner::rank_query{true, false}, config::rank_call_timeout);
     if (!report) {
         return report.last_error();
     }
--- a/tests/adapter/row_control_store_test.cpp
+++ b/tests/adapter/row_control_store_test.cpp
@@ -1,5 +1,5 @@
-#include "row_control_store.h"
 #include "row_client.h"
+#include "row_control_store.h"
 
 #include "support/row_store.h"
 
@@ -52,10 +52,13 @@
 TEST_F(row_control_store_test, leaves_unusable_registrations_out) {
     this->platform.put("servers", "good", registration);
     this->platform.put("servers", "bytes", "\xff\xfe{");
-    this->platform.put("servers", "types", R"({"service":1,"address":"10.0.0.9:80","zone":"z","slots":1,"state":"ready"})");
-    this->platform.put("servers", "state", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,"state":"odd"})");
+    this->platform.put("servers", "types",
+                       R"({"service":1,"address":"10.0.0.9:80","zone":"z","slots":1,"state":"ready"})");
+    this->platform.put("servers", "state",
+                       R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,"state":"odd"})");
     this->platform.put("servers", "less", R"({"service":"s"})");
-    this->platform.put("servers", "slots", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":-1,"state":"ready"})");
+    this->platform.put("servers", "slots",
+                       R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":-1,"state":"ready"})");
     const auto snapshot = this->store.read_endpoints();
     ASSERT_TRUE(snapshot);
     ASSERT_EQ(snapshot->endpoints.size(), 1U);
@@ -68,12 +71,13 @@
     const auto change = this->store.read_routing();
     ASSERT_TRUE(change);
     EXPECT_FALSE(change->content);
-    this->platform.put("op", "config",
-                       R"({"version":9,"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"streaming",)"
-                       R"("timeout_ms":8000,"goal_ms":400,"priority":1,"attempts":2,"can_resume":true,)"
-                       R"("split":[{"service":"a","weight":90},{"service":"b","weight":10}]}],)"
-                       R"("services":[{"name":"a","max_conns":5,"engine":{"sets":6,"experts":64,"places":11,"spare":4}}],)"
-                       R"("tenants":[{"name":"t","api_keys":["k"],"priority":0}],"limits":{"body_bytes":100}})");
+    this->platform.put(
+        "op", "config",
+        R"({"version":9,"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"streaming",)"
+        R"("timeout_ms":8000,"goal_ms":400,"priority":1,"attempts":2,"can_resume":true,)"
+        R"("split":[{"service":"a","weight":90},{"service":"b","weight":10}]}],)"
+        R"("services":[{"name":"a","max_conns":5,"engine":{"sets":6,"experts":64,"places":11,"spare":4}}],)"
+        R"("tenants":[{"name":"t","api_keys":["k"],"priority":0}],"limits":{"body_bytes":100}})");
     const auto next = this->store.follow_routing(change->revision, std::chrono::milliseconds{100});
     ASSERT_TRUE(next);
     ASSERT_TRUE(next->content);
--- a/tests/direct/direct_fixture.h
+++ b/tests/direct/direct_fixture.h
@@ -93,7 +93,7 @@
     shared_retry_budget budget{{0.2, 100.0, std::chrono::milliseconds{10000}}, this->time};
     connection_pool connections{this->time};
     place_queue places{this->shared, this->board, this->link, this->avoidance, this->random, this->time};
-    forwarding_parts parts{this->names, this->places,  this->connections, this->avoidance, this->budget,
+    forwarding_parts parts{this->names, this->places, this->connections, this->avoidance, this->budget,
                            this->board, this->random, this->time,        this->log,       this->metrics};
     direct_service service{this->parts, this->shared};
     net_address address{"127.0.0.1", this->free_port()};
--- a/tests/direct/forwarding_test.cpp
+++ b/tests/direct/forwarding_test.cpp
@@ -40,10 +40,12 @@
 TEST(forwarding_test, passes_on_what_the_endpoint_may_see) {
     scripted_endpoint endpoint{good};
     direct_entry entry{{endpoint.address()}};
-    const http_answer answer =
-        entry.call("POST", "/unsafe/x?y=1", "payload",
-                   {{"X-Pomelohoist-Tenant", "forged"}, {"X-Secret", "1"}, {"Connection", "close, X-Secret"},
-                    {"X-Pomelohoist-Expect-Instance", "i-9"}, {"X-Kept", "2"}});
+    const http_answer answer = entry.call("POST", "/unsafe/x?y=1", "payload",
+                                          {{"X-Pomelohoist-Tenant", "forged"},
+                                           {"X-Secret", "1"},
+                                           {"Connection", "close, X-Secret"},
+                                           {"X-Pomelohoist-Expect-Instance", "i-9"},
+                                           {"X-Kept", "2"}});
     EXPECT_EQ(answer.status, 200);
     EXPECT_EQ(answer.body, "body");
     ASSERT_EQ(endpoint.requests().size(), 1U);
@@ -214,7 +216,9 @@
 
 // Guards against a request that is held past its time.
 TEST(forwarding_test, a_silent_endpoint_is_given_up_at_the_deadline) {
-    scripted_endpoint silent{[](const std::string&, std::size_t) { return scripted_answer{"", {}, false, false, true}; }};
+    scripted_endpoint silent{[](const std::string&, std::size_t) {
+        return scripted_answer{"", {}, false, false, true};
+    }};
     direct_entry entry{{silent.address()}};
     const auto begin = std::chrono::steady_clock::now();
     const http_answer answer = entry.call("POST", "/unsafe/x", "p", {{"X-Pomelohoist-Deadline-Ms", "300"}});
--- a/tests/direct/spread_test.cpp
+++ b/tests/direct/spread_test.cpp
@@ -57,8 +57,8 @@
             return failure{error_kind::stale_configuration, "gone"};
         }
         return this->answer<routing_change>([&] {
-            return routing_change{this->revision, this->routing_revision > after ? std::optional{this->routing}
-                                                                                 : std::nullopt};
+            return routing_change{this->revision,
+                                  this->routing_revision > after ? std::optional{this->routing} : std::nullopt};
         });
     }
     result<endpoint_snapshot> read_endpoints() override {
--- a/tests/docs/operators_page_test.cpp
+++ b/tests/docs/operators_page_test.cpp
@@ -3,8 +3,11 @@
 #include "agent/agent_daemon.h"
 #include "declaration/declaration_file.h"
 #include "declaration/object_rules.h"
+#include "direct/direct_daemon.h"
 #include "entry/entry_daemon.h"
 #include "operator/operator_arguments.h"
+#include "ranks/rank_daemon.h"
+#include "row_platform.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -20,6 +23,16 @@
 using testing::HasSubstr;
 
 const std::string page_file = POMELOHOIST_SOURCE_DIR "/docs/operators.md";
+// Direct forwarding and the processes beside ranks have a page of their own.
+const std::string direct_page_file = POMELOHOIST_SOURCE_DIR "/docs/OPERATIONS.md";
+
+/// @returns the rows of a section on either page
+std::vector<table_row> rows_of_both_pages(const std::string& heading) {
+    std::vector<table_row> rows = table_rows(section_of_page(read_text(page_file), heading));
+    const std::vector<table_row> more = table_rows(section_of_page(read_text(direct_page_file), heading));
+    rows.insert(rows.end(), more.begin(), more.end());
+    return rows;
+}
 
 const std::set<std::string> nothing;
 
@@ -55,8 +68,11 @@
 
 settings_schema all_settings() {
     settings_schema schema = entry_schema();
-    const settings_schema other = agent_schema();
-    schema.insert(schema.end(), other.begin(), other.end());
+    platform::row_platform connector;
+    for (const settings_schema& other :
+         {agent_schema(), direct_daemon_factory{connector}.schema(), rank_daemon_factory{connector}.schema()}) {
+        schema.insert(schema.end(), other.begin(), other.end());
+    }
     return schema;
 }
 
@@ -73,7 +89,7 @@
 
 // Guards against a setting that operators cannot find out about, or whose default on the page is another.
 TEST(operators_page_test, names_every_setting_with_its_default) {
-    const std::vector<table_row> rows = table_rows(section_of_page(read_text(page_file), "## Settings"));
+    const std::vector<table_row> rows = rows_of_both_pages("## Settings");
     for (const setting_spec& spec : all_settings()) {
         const std::string given = spec.default_value.empty() ? "none" : "`" + spec.default_value + "`";
         const std::string wanted = spec.required ? "required" : given;
@@ -93,7 +109,7 @@
         known.insert(spec.key);
         sections.insert(spec.key.substr(0, spec.key.find('.')));
     }
-    const std::string page = read_text(page_file);
+    const std::string page = read_text(page_file) + read_text(direct_page_file);
     std::set<std::string> named;
     for (const std::string& word : all_matches(page, R"(`([a-z_]+\.[a-z_]+)`)")) {
         // Names of spans have a dot too, and a first word that is no section.
@@ -175,7 +191,7 @@
         source_matches(R"re((?:get_counter|get_histogram|add_gauge)\(\s*"([a-z_]+)")re");
     ASSERT_GE(known.size(), 11U);
     std::set<std::string> named;
-    for (const table_row& row : table_rows(section_of_page(read_text(page_file), "## Metrics"))) {
+    for (const table_row& row : rows_of_both_pages("## Metrics")) {
         named.insert(row.cells.front().substr(std::string{"`pomelohoist_"}.size()));
     }
     std::set<std::string> expected;
@@ -190,7 +206,7 @@
     const std::set<std::string> known = source_matches(R"re(log\.(?:debug|info|warn|error)\(\s*"([a-z_]+)")re");
     ASSERT_GE(known.size(), 20U);
     std::set<std::string> named;
-    for (const table_row& row : table_rows(section_of_page(read_text(page_file), "## Log events"))) {
+    for (const table_row& row : rows_of_both_pages("## Log events")) {
         named.insert(row.cells.front().substr(1, row.cells.front().size() - 2));
     }
     EXPECT_EQ(named, known);
--- a/tests/docs/page.cpp
+++ b/tests/docs/page.cpp
@@ -111,7 +111,7 @@
 
 std::set<std::string> source_matches(const std::string& pattern) {
     std::set<std::string> found;
-    for (const std::string& folder : {std::string{"/src"}, std::string{"/programs"}}) {
+    for (const std::string& folder : {std::string{"/src"}, std::string{"/programs"}, std::string{"/platform"}}) {
         for (const auto& entry : std::filesystem::recursive_directory_iterator{POMELOHOIST_SOURCE_DIR + folder}) {
             if (entry.path().extension() == ".cpp") {
                 found.merge(all_matches(read_text(entry.path().string()), pattern));
--- a/tests/docs/page.h
+++ b/tests/docs/page.h
@@ -31,7 +31,7 @@
 /// @returns the first groups of all matches
 std::set<std::string> all_matches(const std::string& text, const std::string& pattern);
 
-/// @returns the first groups of all matches in the .cpp files of src/ and programs/
+/// @returns the first groups of all matches in the .cpp files of src/, programs/ and platform/
 std::set<std::string> source_matches(const std::string& pattern);
 
 } // namespace pomelohoist::docs
--- a/tests/ranks/map_switcher_test.cpp
+++ b/tests/ranks/map_switcher_test.cpp
@@ -35,8 +35,8 @@
     void run_term(int rounds) {
         map_switcher switcher{this->group, this->group, this->log};
         switcher.take_over(++this->fence);
-        map_coordinator coordinator{this->group, switcher, small_shape, test_policy(), this->group.time(),
-                                    this->log,   this->metrics};
+        map_coordinator coordinator{this->group,        switcher,  small_shape,  test_policy(),
+                                    this->group.time(), this->log, this->metrics};
         try {
             for (int i = 0; i < rounds; ++i) {
                 this->shift_demand();
--- a/tests/ranks/simulated_group.cpp
+++ b/tests/ranks/simulated_group.cpp
@@ -50,8 +50,8 @@
         for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
             std::vector<std::uint32_t> experts;
             for (std::uint32_t slot = 0; slot < shape.slots_per_rank; ++slot) {
-                const std::uint16_t expert = own.map[layer * shape.slots_per_layer() +
-                                                     std::size_t{this->number} * shape.slots_per_rank + slot];
+                const std::uint16_t expert =
+                    own.map[layer * shape.slots_per_layer() + std::size_t{this->number} * shape.slots_per_rank + slot];
                 if (expert != static_cast<std::uint16_t>(no_expert)) {
                     experts.push_back(expert);
                 }
@@ -212,7 +212,8 @@
     });
     this->mixed_steps += is_mixed ? 1 : 0;
     for (std::size_t cell = 0; cell < this->demand.size(); ++cell) {
-        this->data[this->step % this->data.size()].counts[cell] += static_cast<std::uint64_t>(this->demand[cell] * 10.0);
+        this->data[this->step % this->data.size()].counts[cell] +=
+            static_cast<std::uint64_t>(this->demand[cell] * 10.0);
     }
 }
 
--- a/tests/ranks/simulated_group.h
+++ b/tests/ranks/simulated_group.h
@@ -21,11 +21,11 @@
 namespace pomelohoist {
 
 struct group_faults {
-    double unanswered{0.0};   ///< share of orders without an answer; half of them are carried out 2 to 12 s later
-    double killed{0.0};       ///< chance, at each call, that the coordinator dies there
-    double frozen{0.0};       ///< chance, at each call, that another coordinator works while this one stands still
-    double new_epoch{0.0};    ///< chance, at each pause, that the group forms anew
-    double idle{0.0};         ///< chance, at each pause, that the group has no work until the next pause
+    double unanswered{0.0}; ///< share of orders without an answer; half of them are carried out 2 to 12 s later
+    double killed{0.0};     ///< chance, at each call, that the coordinator dies there
+    double frozen{0.0};     ///< chance, at each call, that another coordinator works while this one stands still
+    double new_epoch{0.0};  ///< chance, at each pause, that the group forms anew
+    double idle{0.0};       ///< chance, at each pause, that the group has no work until the next pause
 };
 
 /// Thrown where a coordinator dies.
@@ -48,9 +48,9 @@
     std::function<void()> work_of_another; ///< runs while a coordinator is frozen
     std::uint64_t mixed_steps{0};          ///< steps that began while two ranks had different maps
     std::uint64_t steps{0};
-    std::uint64_t switches{0};             ///< steps at which the map changed
+    std::uint64_t switches{0}; ///< steps at which the map changed
     std::uint64_t epochs{1};
-    std::vector<double> demand;            ///< chance of each expert, in the order layer, expert
+    std::vector<double> demand; ///< chance of each expert, in the order layer, expert
 
     [[nodiscard]] bool is_held() const;
 
--- a/tests/support/row_store.cpp
+++ b/tests/support/row_store.cpp
@@ -137,8 +137,7 @@
     response.sendBuffer(text.data(), text.size());
 }
 
-std::pair<int, std::string> row_store::answer(const std::string& path,
-                                              const std::map<std::string, std::string>& query,
+std::pair<int, std::string> row_store::answer(const std::string& path, const std::map<std::string, std::string>& query,
                                               const std::string& body) {
     if (path == "/-/rows-tx") {
         return this->transact(body);
@@ -154,7 +153,8 @@
     const std::lock_guard lock{this->mutex};
     for (const json& wanted : call.at("expected_rev")) {
         const auto found = this->rows.find({wanted.at("table"), wanted.at("key")});
-        const std::uint64_t present = found != this->rows.end() && !found->second.is_removed ? found->second.version : 0;
+        const std::uint64_t present =
+            found != this->rows.end() && !found->second.is_removed ? found->second.version : 0;
         if (present != wanted.at("ver").get<std::uint64_t>()) {
             return {412, json{{"ver", this->version}, {"rows", json::array()}}.dump()};
         }
@@ -187,8 +187,11 @@
             has_more = true;
             break;
         }
-        found.push_back({{"table", table}, {"part", ""}, {"key", place.second},
-                         {"value", encode_base64(content.value)}, {"ver", content.version}});
+        found.push_back({{"table", table},
+                         {"part", ""},
+                         {"key", place.second},
+                         {"value", encode_base64(content.value)},
+                         {"ver", content.version}});
     }
     return {200, json{{"rows", found}, {"has_more", has_more}, {"ver", this->version}, {"now_ms", 1}}.dump()};
 }
