Switch maps eagerly only where steps are slow

A switch on a calm group (steps under 65 ms) now has to lower the mean peak by half, on a busy one by a twentieth.

--- a/src/ranks/map_coordinator.cpp
+++ b/src/ranks/map_coordinator.cpp
@@ -80,6 +80,7 @@
         }
     }
     this->last_counts = std::move(counts);
+    this->observe_step_time(states);
     const steady_time now = this->time.now();
     const double elapsed = this->observed_at ? std::chrono::duration<double>(now - *this->observed_at).count() : 0.0;
     this->observed_at = now;
@@ -93,6 +94,17 @@
     return std::accumulate(this->loads.begin(), this->loads.end(), 0.0) > 0.0;
 }
 
+void map_coordinator::observe_step_time(const std::vector<rank_state>& states) {
+    const std::uint64_t step = states.front().step;
+    if (this->observed_at && step > this->observed_step) {
+        const std::chrono::duration<double, std::milli> elapsed = this->time.now() - *this->observed_at;
+        const double sample = elapsed.count() / static_cast<double>(step - this->observed_step);
+        constexpr double gain = 0.4;
+        this->step_ms += (this->step_ms > 0.0 ? gain : 1.0) * (sample - this->step_ms);
+    }
+    this->observed_step = step;
+}
+
 bool map_coordinator::learn_slots(const std::vector<rank_state>& states) {
     const std::uint64_t version = states.front().map_version;
     if (!std::all_of(states.begin(), states.end(),
@@ -125,16 +137,19 @@
 
 std::optional<std::vector<std::uint32_t>> map_coordinator::plan() const {
     const std::vector<std::uint32_t>& slots = this->slots_in_force;
-    const layer_plan_limits limits{this->policy.max_new, this->policy.least_gain, this->policy.good_enough};
+    const switch_threshold& threshold =
+        this->step_ms >= this->policy.busy_step_ms ? this->policy.busy : this->policy.calm;
+    const layer_plan_limits limits{this->policy.max_new, threshold.least_gain, threshold.good_enough};
     std::vector<std::uint32_t> planned = plan_layers(this->shape, slots, this->loads, limits);
     const double before = mean_of(layer_peaks(this->shape, slots, this->loads));
     const double after = mean_of(layer_peaks(this->shape, planned, this->loads));
-    if (before - after < this->policy.switch_gain) {
+    if (before - after < threshold.switch_gain) {
         return std::nullopt;
     }
     this->log.info("map_planned", {{"epoch", std::to_string(this->epoch)},
                                    {"peak_before", rounded(before)},
                                    {"peak_after", rounded(after)},
+                                   {"step_ms", std::to_string(std::lround(this->step_ms))},
                                    {"version", std::to_string(this->version_in_force)}});
     return planned;
 }
--- a/src/ranks/map_coordinator.h
+++ b/src/ranks/map_coordinator.h
@@ -14,11 +14,21 @@
 /// Keeps the expert map of one group close to the demand.
 namespace pomelohoist {
 
+/// What a switch has to bring. Copies are dear and slow the steps while they last, so they are made where callers gain:
+/// where steps are slow, because the ranks are busy.
+struct switch_threshold {
+    double least_gain{0.0};  ///< see `layer_plan_limits`
+    double good_enough{0.0}; ///< see `layer_plan_limits`
+    double switch_gain{0.0}; ///< decrease of the mean peak that a switch must bring
+
+    friend bool operator==(const switch_threshold&, const switch_threshold&) = default;
+};
+
 struct map_policy {
-    double window_s{1.0};     ///< averaging time of the experts' loads
-    double least_gain{0.004}; ///< see `layer_plan_limits`
-    double good_enough{1.06}; ///< see `layer_plan_limits`
-    double switch_gain{0.03}; ///< decrease of the mean peak that a switch must bring
+    double window_s{1.0};                        ///< averaging time of the experts' loads
+    double busy_step_ms{65.0};                   ///< steps from here on are slow; half of the usual pause target
+    switch_threshold busy{0.004, 1.06, 0.05};
+    switch_threshold calm{0.02, 1.4, 0.5};
     std::uint32_t max_new{0}; ///< see `layer_plan_limits`
 
     friend bool operator==(const map_policy&, const map_policy&) = default;
@@ -38,6 +48,7 @@
 
   private:
     bool observe(const std::vector<rank_state>& states);
+    void observe_step_time(const std::vector<rank_state>& states);
     /// Learns the map in force from the ranks, unless this process has switched to it.
     bool learn_slots(const std::vector<rank_state>& states);
     [[nodiscard]] std::optional<std::vector<std::uint32_t>> plan() const;
@@ -53,6 +64,8 @@
     std::vector<std::vector<std::uint64_t>> last_counts; ///< of each rank
     std::vector<double> loads;                           ///< expected tokens, in the order layer, expert
     std::optional<steady_time> observed_at;
+    std::uint64_t observed_step{0};
+    double step_ms{0.0}; ///< mean time of a step, while the group has work
     std::vector<std::uint32_t> slots_in_force; ///< empty while unknown
     std::uint64_t version_in_force{0};
 };
--- a/tests/ranks/map_switcher_test.cpp
+++ b/tests/ranks/map_switcher_test.cpp
@@ -20,6 +20,7 @@
 map_policy test_policy() {
     map_policy policy;
     policy.max_new = 2;
+    policy.calm = policy.busy; // as many switches as possible
     return policy;
 }
 
