Tell entries which groups serve; name steps at most five ahead

The process beside each rank now tells the entries whether its group serves; requests wait for a group that forms, 1.2 s at most, as callers give a stream up after 2 s without an event. Cause 2: a coordinator waited 40 steps before its first switch, because an earlier one might have named steps that far ahead; none names one more than 5 ahead. With map 0 a step took 130 ms, so that wait lasted 5 s.

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -115,7 +115,7 @@
 
 // Map switches of ranks that take orders. A step takes some 50 ms; arming eight ranks takes some 50 ms.
 inline constexpr std::uint64_t step_lead = 5;
-inline constexpr std::uint64_t max_step_lead = 40; // no version of the product names a step further ahead
+inline constexpr std::uint64_t max_step_lead = step_lead; // an earlier coordinator names no step further ahead
 inline constexpr std::uint32_t order_attempts = 5;
 inline constexpr std::uint32_t prepare_checks = 40;
 inline constexpr std::uint32_t prepare_check_ms = 100; // a copy of 24 experts takes 1.2 s
@@ -128,6 +128,7 @@
 inline constexpr std::chrono::milliseconds endpoint_connect_timeout{300};
 inline constexpr std::chrono::milliseconds endpoint_avoid_time{1500}; // a stall of a group lasts as long
 inline constexpr std::chrono::milliseconds endpoint_avoid_limit{6000};
+inline constexpr std::chrono::milliseconds endpoint_refusal_time{300};
 inline constexpr std::chrono::milliseconds idle_connection_margin{700}; // before the endpoint closes it
 inline constexpr std::chrono::milliseconds idle_connection_default{1500};
 inline constexpr std::size_t max_idle_connections = 4; // of one endpoint
@@ -139,7 +140,10 @@
 inline constexpr std::chrono::milliseconds place_poll_interval{20};
 // Within the usual goals: 100 ms for plain answers, 400 ms for the first event.
 inline constexpr std::chrono::milliseconds longest_wait{150};
-inline constexpr std::chrono::milliseconds longest_stream_wait{1500};
+inline constexpr std::chrono::milliseconds longest_stream_wait{1000};
+// A group is back some 0.6 s after its last rank; callers give a stream up after 2 s without an event.
+inline constexpr std::chrono::milliseconds longest_reopen_wait{1200};
+inline constexpr std::uint32_t max_refusals = 2;
 inline constexpr std::size_t max_unreached_endpoints = 4;
 
 // Two questions of the platform's balancer, one a second, and the connections that it opened before the second.
--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -76,8 +76,12 @@
     const steady_time now = this->parts.time.now();
     // A request that has been sent already has no time to wait in line again.
     const std::chrono::milliseconds longest = this->is_stream() ? config::longest_stream_wait : config::longest_wait;
-    const place_request wanted{this->request.service, this->is_stream(), this->request.importance,
-                               this->outcome.endpoints, std::min(now + longest, this->request.deadline)};
+    const place_request wanted{this->request.service,
+                               this->is_stream(),
+                               this->request.importance,
+                               this->outcome.endpoints,
+                               std::min(now + longest, this->request.deadline),
+                               std::min(now + config::longest_reopen_wait, this->request.deadline)};
     place_result placed = this->parts.places.acquire(wanted, this->caller);
     if (placed.outcome == place_outcome::placed) {
         this->place = std::move(placed.place);
@@ -86,6 +90,9 @@
     if (placed.outcome == place_outcome::caller_gone) {
         return failure{error_kind::timeout, "the caller has left"};
     }
+    if (placed.outcome == place_outcome::closed) {
+        return failure{error_kind::not_ready, "the groups of the service form anew"};
+    }
     return placed.outcome == place_outcome::full
                ? failure{error_kind::overloaded, "all endpoints of the service are full"}
                : failure{error_kind::no_endpoint, "no endpoint of the service can be used"};
@@ -98,6 +105,8 @@
         this->parts.avoidance.note_success(this->place->digest);
     } else if (end == attempt_end::unreached || end == attempt_end::failed) {
         this->parts.avoidance.note_failure(this->place->digest);
+    } else if (end == attempt_end::refused) {
+        this->parts.avoidance.note_refusal(this->place->digest);
     }
     this->outcome.may_have_run =
         this->outcome.may_have_run || end == attempt_end::failed || end == attempt_end::endpoint_failed;
@@ -310,6 +319,12 @@
     case attempt_end::unreached:
         return this->outcome.endpoints.size() <= config::max_unreached_endpoints;
     case attempt_end::refused:
+        // It has not run, so it counts for the budget and not for the endpoints that may run it. What runs at most once
+        // stays with the endpoint that it was sent to.
+        --this->sends;
+        if (way.max_endpoints < 2 || ++this->refusals > config::max_refusals) {
+            return false;
+        }
         break;
     case attempt_end::failed:
     case attempt_end::endpoint_failed:
--- a/src/direct/direct_forwarder.h
+++ b/src/direct/direct_forwarder.h
@@ -95,8 +95,9 @@
     std::unique_ptr<endpoint_place> place;
     std::unique_ptr<endpoint_connection> connection;
     std::optional<whole_answer> endpoint_failure; ///< an endpoint's own error, passed on when no repeat follows
-    std::uint32_t sends{0};
-    bool has_begun{false}; ///< the head of a stream was sent to the caller
+    std::uint32_t sends{0};                       ///< after which the request may have run
+    std::uint32_t refusals{0};                    ///< by endpoints that did not run it
+    bool has_begun{false};                        ///< the head of a stream was sent to the caller
 };
 
 /// Sends an error of the entry's own.
--- a/src/direct/direct_messages.h
+++ b/src/direct/direct_messages.h
@@ -21,9 +21,12 @@
 struct rank_note {
     std::string group;
     std::uint32_t rank{0};
-    net_address engine; ///< where the rank takes orders
+    net_address engine; ///< where the rank takes orders and requests
+    bool is_open{true}; ///< the group serves; a broken one refuses requests until it has formed anew
 
-    template <class Archive> void serialize(Archive& archive) { archive(this->group, this->rank, this->engine); }
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->group, this->rank, this->engine, this->is_open);
+    }
     friend bool operator==(const rank_note&, const rank_note&) = default;
 };
 
--- a/src/direct/endpoint_avoidance.cpp
+++ b/src/direct/endpoint_avoidance.cpp
@@ -13,6 +13,12 @@
     known.until = this->time.now() + known.duration;
 }
 
+void endpoint_avoidance::note_refusal(endpoint_digest endpoint) {
+    const std::lock_guard lock{this->mutex};
+    record& known = this->records[endpoint];
+    known.until = std::max(known.until, this->time.now() + config::endpoint_refusal_time);
+}
+
 void endpoint_avoidance::note_success(endpoint_digest endpoint) {
     const std::lock_guard lock{this->mutex};
     this->records.erase(endpoint);
--- a/src/direct/endpoint_avoidance.h
+++ b/src/direct/endpoint_avoidance.h
@@ -17,6 +17,8 @@
 
     /// Notes a failure; each one that follows soon doubles the time, up to a bound.
     void note_failure(endpoint_digest endpoint);
+    /// Notes that the endpoint is full, or its group broken, for the moment.
+    void note_refusal(endpoint_digest endpoint);
     void note_success(endpoint_digest endpoint);
     [[nodiscard]] bool is_avoided(endpoint_digest endpoint) const;
 
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -14,7 +14,7 @@
 }
 
 bool has_place(const endpoint_candidate& candidate) {
-    return !candidate.was_tried && candidate.active < candidate.places;
+    return !candidate.was_tried && !candidate.is_closed && candidate.active < candidate.places;
 }
 
 } // namespace
@@ -36,9 +36,14 @@
         }
     }
     if (open.empty()) {
-        const bool has_untried = std::any_of(candidates.begin(), candidates.end(),
-                                             [](const endpoint_candidate& candidate) { return !candidate.was_tried; });
-        return {std::nullopt, has_untried};
+        endpoint_choice none;
+        none.is_closed = true;
+        for (const endpoint_candidate& candidate : candidates) {
+            none.is_full = none.is_full || !candidate.was_tried;
+            none.is_closed = none.is_closed && (candidate.was_tried || candidate.is_closed);
+        }
+        none.is_closed = none.is_closed && none.is_full;
+        return none;
     }
     const auto least = std::min_element(
         open.begin(), open.end(), [](const auto* left, const auto* right) { return load_of(*left) < load_of(*right); });
--- a/src/direct/endpoint_choice.h
+++ b/src/direct/endpoint_choice.h
@@ -19,6 +19,7 @@
     std::uint32_t places{1}; ///< requests that it may hold, the waiting ones included
     bool is_avoided{false};  ///< has failed a short time ago
     bool was_tried{false};   ///< by this request
+    bool is_closed{false};   ///< its group does not serve at the moment
 
     friend bool operator==(const endpoint_candidate&, const endpoint_candidate&) = default;
 };
@@ -26,6 +27,7 @@
 struct endpoint_choice {
     std::optional<std::size_t> index; ///< of the candidate that was chosen
     bool is_full{false};              ///< nothing was chosen, but a place may come free
+    bool is_closed{false};            ///< nothing was chosen, since no untried endpoint serves at the moment
 
     friend bool operator==(const endpoint_choice&, const endpoint_choice&) = default;
 };
--- a/src/direct/endpoint_list.cpp
+++ b/src/direct/endpoint_list.cpp
@@ -11,9 +11,8 @@
         std::uint64_t& known = latest[record.address];
         known = std::max(known, record.started_ms);
     }
-    std::erase_if(records, [&latest](const endpoint_record& record) {
-        return record.started_ms < latest.at(record.address);
-    });
+    std::erase_if(records,
+                  [&latest](const endpoint_record& record) { return record.started_ms < latest.at(record.address); });
     return records;
 }
 
--- a/src/direct/endpoint_list.h
+++ b/src/direct/endpoint_list.h
@@ -38,8 +38,8 @@
     friend bool operator==(const endpoint_list&, const endpoint_list&) = default;
 };
 
-/// @returns the records without those whose address a later start has taken over: an endpoint that starts anew registers
-/// under a new name, and its old registration lapses only some seconds later
+/// @returns the records without those whose address a later start has taken over: an endpoint that starts anew
+/// registers under a new name, and its old registration lapses only some seconds later
 std::vector<endpoint_record> without_superseded(std::vector<endpoint_record> records);
 
 } // namespace pomelohoist
--- a/src/direct/peer_link.h
+++ b/src/direct/peer_link.h
@@ -69,6 +69,8 @@
     void set_rank(const std::optional<inner::rank_note>& own_rank);
     /// @returns the live processes beside the ranks of the group, this one not included
     [[nodiscard]] std::vector<group_peer> group_peers(const std::string& group) const;
+    /// @returns engines whose group does not serve, as the live processes beside them say
+    [[nodiscard]] std::vector<net_address> closed_engines() const;
     /// @returns how many live processes have a smaller name than this one; the first ones read the store
     [[nodiscard]] std::uint32_t rank_among_live() const;
 
--- a/src/direct/place_queue.cpp
+++ b/src/direct/place_queue.cpp
@@ -25,6 +25,7 @@
 place_result place_queue::try_place(const place_request& request) {
     const view seen = this->shared.current();
     std::vector<endpoint_candidate> candidates;
+    const std::vector<net_address> closed = this->peers.closed_engines();
     const std::size_t known = seen.endpoints ? seen.endpoints->endpoints.size() : 0;
     for (std::size_t i = 0; i < known; ++i) {
         const endpoint_record& record = seen.endpoints->endpoints[i];
@@ -34,11 +35,15 @@
         const endpoint_digest digest = digest_of_instance(record.instance);
         const bool was_tried =
             std::find(request.tried.begin(), request.tried.end(), record.instance) != request.tried.end();
+        const bool is_closed = std::find(closed.begin(), closed.end(), record.address) != closed.end();
         candidates.push_back({i, this->board.total(digest), record.slots, places_of(record.slots, request.is_stream),
-                              this->avoidance.is_avoided(digest), was_tried});
+                              this->avoidance.is_avoided(digest), was_tried, is_closed});
     }
     const endpoint_choice choice = choose_endpoint(candidates, this->random);
     if (!choice.index) {
+        if (choice.is_closed) {
+            return {place_outcome::closed, nullptr};
+        }
         return {choice.is_full ? place_outcome::full : place_outcome::no_endpoint, nullptr};
     }
     return {place_outcome::placed,
@@ -54,12 +59,14 @@
     while (true) {
         if (*line.begin() == own) {
             placed = this->try_place(request);
-            if (placed.outcome != place_outcome::full) {
+            if (placed.outcome != place_outcome::full && placed.outcome != place_outcome::closed) {
                 break;
             }
         }
-        if (this->time.now() >= request.until) {
-            placed.outcome = place_outcome::full;
+        // A group that forms anew is back soon, and until then no other place can come free.
+        const steady_time until = placed.outcome == place_outcome::closed ? request.until_open : request.until;
+        if (this->time.now() >= until) {
+            placed.outcome = placed.outcome == place_outcome::closed ? place_outcome::closed : place_outcome::full;
             break;
         }
         if (caller.is_gone()) {
@@ -67,7 +74,7 @@
             break;
         }
         const steady_time next_look = this->time.now() + config::place_poll_interval;
-        this->freed.wait_until(lock, std::min(request.until, next_look));
+        this->freed.wait_until(lock, std::min(until, next_look));
     }
     line.erase(own);
     this->freed.notify_all();
--- a/src/direct/place_queue.h
+++ b/src/direct/place_queue.h
@@ -45,7 +45,8 @@
     bool is_stream{false};
     std::uint32_t importance{0};    ///< 0 is the most important
     std::vector<std::string> tried; ///< instances that this request was sent to before
-    steady_time until;              ///< longest wait
+    steady_time until;              ///< longest wait for a place
+    steady_time until_open;         ///< longest wait while no endpoint of the service serves
 
     friend bool operator==(const place_request&, const place_request&) = default;
 };
@@ -54,6 +55,7 @@
 enum class place_outcome : std::uint8_t {
     placed,
     full,        ///< no place came free in time, or too many wait already
+    closed,      ///< the groups of all endpoints form anew, and did not open in time
     no_endpoint, ///< no endpoint of the service is known, or all were tried
     caller_gone,
     count
--- a/src/ranks/map_coordinator.h
+++ b/src/ranks/map_coordinator.h
@@ -25,8 +25,8 @@
 };
 
 struct map_policy {
-    double window_s{1.0};                        ///< averaging time of the experts' loads
-    double busy_step_ms{65.0};                   ///< steps from here on are slow; half of the usual pause target
+    double window_s{1.0};      ///< averaging time of the experts' loads
+    double busy_step_ms{65.0}; ///< steps from here on are slow; half of the usual pause target
     switch_threshold busy{0.004, 1.06, 0.05};
     switch_threshold calm{0.02, 1.4, 0.5};
     std::uint32_t max_new{0}; ///< see `layer_plan_limits`
@@ -65,7 +65,7 @@
     std::vector<double> loads;                           ///< expected tokens, in the order layer, expert
     std::optional<steady_time> observed_at;
     std::uint64_t observed_step{0};
-    double step_ms{0.0}; ///< mean time of a step, while the group has work
+    double step_ms{0.0};                       ///< mean time of a step, while the group has work
     std::vector<std::uint32_t> slots_in_force; ///< empty while unknown
     std::uint64_t version_in_force{0};
 };
--- a/src/ranks/rank_daemon.cpp
+++ b/src/ranks/rank_daemon.cpp
@@ -124,6 +124,7 @@
         while (this->pause(static_cast<std::uint32_t>(config::map_interval.count()))) {
             const result<rank_state> own = this->engine->read_state();
             if (!own || own->group.empty()) {
+                this->note_unreachable();
                 continue;
             }
             this->note_rank(*own);
@@ -144,7 +145,20 @@
     }
 
     void note_rank(const rank_state& own) {
-        const inner::rank_note note{own.group, own.rank, this->values.address("engine.address")};
+        const inner::rank_note note{own.group, own.rank, this->values.address("engine.address"), own.is_open};
+        this->tell(note);
+    }
+
+    /// The group of an engine that does not answer is broken, or is about to be.
+    void note_unreachable() {
+        if (this->noted) {
+            inner::rank_note note = *this->noted;
+            note.is_open = false;
+            this->tell(note);
+        }
+    }
+
+    void tell(const inner::rank_note& note) {
         if (this->noted != note) {
             this->noted = note;
             this->link->set_rank(note);
--- a/tests/direct/decision_test.cpp
+++ b/tests/direct/decision_test.cpp
@@ -94,7 +94,7 @@
 TEST(endpoint_choice_test, spreads_over_the_least_loaded) {
     seeded_random random{3};
     const std::vector<endpoint_candidate> candidates{
-        {0, 4, 12, 14, false, false}, {1, 4, 12, 14, false, false}, {2, 9, 12, 14, false, false}};
+        {0, 4, 12, 14, false, false, false}, {1, 4, 12, 14, false, false, false}, {2, 9, 12, 14, false, false, false}};
     std::map<std::size_t, int> taken;
     for (int i = 0; i < 200; ++i) {
         ++taken[*choose_endpoint(candidates, random).index];
@@ -107,13 +107,24 @@
 // Guards against refusing with places free, against a place at a tried endpoint, and against waiting for none.
 TEST(endpoint_choice_test, uses_avoided_endpoints_last_and_tried_ones_never) {
     seeded_random random{3};
-    const endpoint_candidate avoided{0, 0, 12, 14, true, false};
-    const endpoint_candidate full{1, 14, 12, 14, false, false};
-    const endpoint_candidate tried{2, 0, 12, 14, false, true};
+    const endpoint_candidate avoided{0, 0, 12, 14, true, false, false};
+    const endpoint_candidate full{1, 14, 12, 14, false, false, false};
+    const endpoint_candidate tried{2, 0, 12, 14, false, true, false};
     EXPECT_EQ(choose_endpoint({avoided, full, tried}, random).index, 0U);
-    EXPECT_EQ(choose_endpoint({full, tried}, random), (endpoint_choice{std::nullopt, true}));
-    EXPECT_EQ(choose_endpoint({tried}, random), (endpoint_choice{std::nullopt, false}));
-    EXPECT_EQ(choose_endpoint({}, random), (endpoint_choice{std::nullopt, false}));
+    EXPECT_EQ(choose_endpoint({full, tried}, random), (endpoint_choice{std::nullopt, true, false}));
+    EXPECT_EQ(choose_endpoint({tried}, random), (endpoint_choice{std::nullopt, false, false}));
+    EXPECT_EQ(choose_endpoint({}, random), (endpoint_choice{std::nullopt, false, false}));
+}
+
+// Guards against requests for a group that has broken, and against refusing them while it forms anew.
+TEST(endpoint_choice_test, waits_for_closed_groups_and_uses_open_ones) {
+    seeded_random random{3};
+    const endpoint_candidate closed{0, 0, 12, 14, false, false, true};
+    const endpoint_candidate open{1, 13, 12, 14, true, false, false};
+    const endpoint_candidate full{2, 14, 12, 14, false, false, false};
+    EXPECT_EQ(choose_endpoint({closed, open}, random).index, 1U);
+    EXPECT_EQ(choose_endpoint({closed}, random), (endpoint_choice{std::nullopt, true, true}));
+    EXPECT_EQ(choose_endpoint({closed, full}, random), (endpoint_choice{std::nullopt, true, false}));
 }
 
 // Guards against places that stay taken by an entry that has stopped or was cut off.
