Replace a silent coordinator after 0.7 s; log what keeps a group from being read

The processes beside the other ranks now hear of the coordinator every 200 ms, and the next one takes over after 0.7 s. It keeps the addresses of silent processes and calls their engines directly. A switch that only waits for its step is no longer resumed in each round.

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -110,6 +110,9 @@
 inline constexpr std::chrono::milliseconds rank_view_stale_time{10000};
 inline constexpr std::chrono::milliseconds rank_news_interval{1000};
 inline constexpr std::chrono::milliseconds rank_silence_limit{3200}; // three intervals
+// A group that is held delays all its streams, which may pause 120 ms; callers give up after 2 s.
+inline constexpr std::chrono::milliseconds coordinator_news_interval{200};
+inline constexpr std::chrono::milliseconds coordinator_silence_limit{700}; // three intervals
 // Nanoseconds: numbers further apart than this belong to different processes.
 inline constexpr std::uint64_t peer_sequence_window = 1000000;
 
@@ -122,6 +125,7 @@
 inline constexpr std::uint32_t arm_retry_ms = 10;
 inline constexpr std::chrono::milliseconds rank_call_timeout{300};
 inline constexpr std::chrono::milliseconds rank_order_timeout{120}; // an engine answers at once, or seconds late
+inline constexpr std::chrono::milliseconds rank_process_avoid_time{2000};
 inline constexpr std::chrono::milliseconds map_interval{300};
 
 // Direct forwarding: requests.
--- a/src/direct/direct_messages.h
+++ b/src/direct/direct_messages.h
@@ -23,9 +23,10 @@
     std::uint32_t rank{0};
     net_address engine; ///< where the rank takes orders and requests
     bool is_open{true}; ///< the group serves; a broken one refuses requests until it has formed anew
+    bool is_coordinating{false}; ///< the sender switches the maps of the group, and tells its peers there often
 
     template <class Archive> void serialize(Archive& archive) {
-        archive(this->group, this->rank, this->engine, this->is_open);
+        archive(this->group, this->rank, this->engine, this->is_open, this->is_coordinating);
     }
     friend bool operator==(const rank_note&, const rank_note&) = default;
 };
--- a/src/direct/peer_link.cpp
+++ b/src/direct/peer_link.cpp
@@ -96,10 +96,7 @@
     const std::lock_guard lock{this->mutex};
     std::vector<net_address> addresses;
     for (const auto& [name, known] : this->peers) {
-        // One that was silent for long is still told now and then: both sides may have been cut off from each other.
-        const bool may_be_entry = known.is_entry || !known.heard_at;
-        if (told == audience::everyone || (told == audience::entries && may_be_entry) ||
-            (known.is_entry && this->is_live(known))) {
+        if (this->is_told(known, told)) {
             addresses.push_back(known.address);
         }
     }
@@ -153,8 +150,28 @@
     return before;
 }
 
+bool peer_link::is_told(const peer& known, audience told) const {
+    switch (told) {
+    case audience::live_entries:
+        return known.is_entry && this->is_live(known);
+    case audience::entries:
+        // One that was silent for long is still told: both sides may have been cut off from each other.
+        return known.is_entry || !known.heard_at;
+    case audience::group:
+        return known.beside && this->rank && known.beside->group == this->rank->group;
+    case audience::everyone:
+    case audience::count:
+        break;
+    }
+    return true;
+}
+
 bool peer_link::is_live(const peer& known) const {
-    const auto limit = known.is_entry ? config::peer_silence_limit : config::rank_silence_limit;
+    auto limit = known.is_entry ? config::peer_silence_limit : config::rank_silence_limit;
+    if (known.beside && known.beside->is_coordinating) {
+        // It may stand still while its group is held, so it has to be replaced soon.
+        limit = config::coordinator_silence_limit;
+    }
     return known.heard_at && this->time.now() - *known.heard_at <= limit;
 }
 
@@ -165,32 +182,53 @@
 
 std::vector<group_peer> peer_link::group_peers(const std::string& group) const {
     const std::lock_guard lock{this->mutex};
-    std::vector<group_peer> members;
+    std::map<std::uint32_t, std::pair<steady_time, group_peer>> by_rank;
     for (const auto& [name, known] : this->peers) {
-        if (known.beside && known.beside->group == group && this->is_live(known)) {
-            members.push_back({name, known.address, known.beside->rank, known.beside->engine});
+        if (!known.beside || known.beside->group != group || !known.heard_at) {
+            continue;
         }
+        const group_peer found{name, known.address, known.beside->rank, known.beside->engine, this->is_live(known)};
+        const auto present = by_rank.find(found.rank);
+        if (present == by_rank.end() || present->second.first < *known.heard_at) {
+            by_rank[found.rank] = {*known.heard_at, found};
+        }
+    }
+    std::vector<group_peer> members;
+    members.reserve(by_rank.size());
+    for (const auto& [rank_number, found] : by_rank) {
+        members.push_back(found.second);
     }
     return members;
 }
 
 void peer_link::announce_loop() {
+    while (!this->stopping) {
+        const std::chrono::milliseconds wait = this->announce_due();
+        std::unique_lock lock{this->mutex};
+        this->changed.wait_for(lock, wait, [this] { return this->stopping.load(); });
+    }
+}
+
+std::chrono::milliseconds peer_link::announce_due() {
     // Entries hear of each other often, since they place requests by each other's load. Processes beside ranks are told
     // when there is news, and tell the others where they are.
-    const auto interval = this->options.is_entry ? config::peer_news_interval : config::rank_news_interval;
-    this->announce();
-    while (!this->stopping) {
-        {
-            std::unique_lock lock{this->mutex};
-            this->changed.wait_for(lock, interval, [this] { return this->stopping.load(); });
-        }
+    if (this->options.is_entry) {
         const bool knows_all = this->shared.current().routing != nullptr;
-        if (this->options.is_entry && knows_all) {
-            this->send_to(this->make_news(), this->targets(audience::entries));
-        } else {
-            this->announce();
-        }
+        this->send_to(this->make_news(), this->targets(knows_all ? audience::entries : audience::everyone));
+        return config::peer_news_interval;
+    }
+    bool is_coordinating = false;
+    {
+        const std::lock_guard lock{this->mutex};
+        is_coordinating = this->rank && this->rank->is_coordinating;
+    }
+    const steady_time now = this->time.now();
+    const bool tells_everyone = now - this->told_everyone_at >= config::rank_news_interval;
+    if (tells_everyone) {
+        this->told_everyone_at = now;
     }
+    this->send_to(this->make_news(), this->targets(tells_everyone ? audience::everyone : audience::group));
+    return is_coordinating ? config::coordinator_news_interval : config::rank_news_interval;
 }
 
 void peer_link::receive_loop() {
--- a/src/direct/peer_link.h
+++ b/src/direct/peer_link.h
@@ -33,12 +33,13 @@
     friend bool operator==(const peer_link_options&, const peer_link_options&) = default;
 };
 
-/// A live process beside a rank of a group.
+/// A process beside a rank of a group.
 struct group_peer {
     std::string name;
     net_address address; ///< of the process
     std::uint32_t rank{0};
     net_address engine;
+    bool is_live{true}; ///< heard of a short time ago; the engine of a silent process may still serve
 
     friend bool operator==(const group_peer&, const group_peer&) = default;
 };
@@ -67,7 +68,8 @@
     void announce_load();
     /// Tells the others which rank this process runs beside.
     void set_rank(const std::optional<inner::rank_note>& own_rank);
-    /// @returns the live processes beside the ranks of the group, this one not included
+    /// @returns the processes beside the ranks of the group, this one not included; of two for one rank the one that was
+    /// heard of last
     [[nodiscard]] std::vector<group_peer> group_peers(const std::string& group) const;
     /// @returns engines whose group does not serve, as the live processes beside them say
     [[nodiscard]] std::vector<net_address> closed_engines() const;
@@ -75,7 +77,7 @@
     [[nodiscard]] std::uint32_t rank_among_live() const;
 
   private:
-    enum class audience : std::uint8_t { live_entries, entries, everyone, count };
+    enum class audience : std::uint8_t { live_entries, entries, group, everyone, count };
 
     struct peer {
         net_address address;
@@ -96,6 +98,10 @@
     void send_to(const std::string& bytes, const std::vector<net_address>& targets);
     [[nodiscard]] std::vector<net_address> targets(audience told) const;
     [[nodiscard]] bool is_live(const peer& known) const;
+    [[nodiscard]] bool is_told(const peer& known, audience told) const;
+    /// Sends the news that are due.
+    /// @returns time until the next ones
+    std::chrono::milliseconds announce_due();
 
     peer_link_options options;
     shared_view& shared;
@@ -113,6 +119,7 @@
     std::map<std::string, peer> peers;
     std::deque<net_address> pulls;
     std::optional<inner::rank_note> rank;
+    steady_time told_everyone_at{}; ///< used by the announcing thread only
     std::vector<std::thread> threads;
 };
 
--- a/src/ranks/map_switcher.cpp
+++ b/src/ranks/map_switcher.cpp
@@ -74,6 +74,9 @@
         result<rank_state> state = this->group.rank(i).read_state();
         if (!state || !state->is_open || state->rank != i || state->ranks != this->group.size() ||
             (!states.empty() && states.front().epoch != state->epoch)) {
+            this->log.info("group_unreadable",
+                           {{"rank", std::to_string(i)},
+                            {"reason", state ? "another state or epoch" : state.last_error().reason}});
             return std::nullopt;
         }
         states.push_back(std::move(*state));
@@ -150,6 +153,11 @@
     if (!armed && !held) {
         return this->is_past_named_steps(states);
     }
+    const bool all_armed =
+        std::all_of(states.begin(), states.end(), [&armed](const rank_state& state) { return state.armed == armed; });
+    if (armed && !held && all_armed) {
+        return false; // only the step is still to come
+    }
     const std::uint64_t epoch = states.front().epoch;
     const std::uint64_t prepared = states.front().prepared_version;
     const bool all_prepared = prepared != 0 && std::all_of(states.begin(), states.end(), [prepared](const auto& state) {
--- a/src/ranks/rank_daemon.cpp
+++ b/src/ranks/rank_daemon.cpp
@@ -124,13 +124,14 @@
         while (this->pause(static_cast<std::uint32_t>(config::map_interval.count()))) {
             const result<rank_state> own = this->engine->read_state();
             if (!own || own->group.empty()) {
+                this->context.log.info("engine_unreadable", {{"reason", own ? "no group" : own.last_error().reason}});
                 this->note_unreachable();
                 continue;
             }
             this->note_rank(*own);
             const std::vector<group_peer> peers = this->link->group_peers(own->group);
             const bool is_first =
-                std::none_of(peers.begin(), peers.end(), [&own](const auto& peer) { return peer.rank < own->rank; });
+                std::none_of(peers.begin(), peers.end(), [&own](const auto& peer) { return peer.is_live && peer.rank < own->rank; });
             if (!is_first) {
                 this->end_term();
                 continue;
@@ -145,7 +146,8 @@
     }
 
     void note_rank(const rank_state& own) {
-        const inner::rank_note note{own.group, own.rank, this->values.address("engine.address"), own.is_open};
+        const inner::rank_note note{own.group, own.rank, this->values.address("engine.address"), own.is_open,
+                                    this->coordinator != nullptr};
         this->tell(note);
     }
 
@@ -185,7 +187,7 @@
                 return false;
             }
             ranks[peer.rank] = std::make_unique<remote_rank>(this->values.text("process.name"), peer.address,
-                                                             peer.engine, this->platform);
+                                                             peer.engine, this->platform, this->context.time);
         }
         this->group = std::make_unique<reached_group>(std::move(ranks));
         this->switcher = std::make_unique<map_switcher>(*this->group, *this, this->context.log);
@@ -196,6 +198,7 @@
             std::make_unique<map_coordinator>(*this->group, *this->switcher, *shape, policy, this->context.time,
                                               this->context.log, this->context.metrics);
         this->context.log.info("coordination_begun", {{"group", own.group}, {"fence", std::to_string(*fence)}});
+        this->note_rank(own);
         return true;
     }
 
--- a/src/ranks/remote_rank.cpp
+++ b/src/ranks/remote_rank.cpp
@@ -41,20 +41,31 @@
 }
 
 remote_rank::remote_rank(std::string own_name, net_address process, const net_address& engine,
-                         rank_engine_source& source)
-    : name(std::move(own_name)), address(std::move(process)), engine_address(engine), engines(source) {}
+                         rank_engine_source& source, const clock& time_source)
+    : name(std::move(own_name)), address(std::move(process)), engine_address(engine), engines(source),
+      time(time_source) {}
 
-result<rank_state> remote_rank::read_state() {
-    const result<inner::rank_report> report =
-        call_stream<inner::rank_report>(this->address, this->name, inner::rank_query{}, config::rank_call_timeout);
-    if (report) {
-        return report->state;
+bool remote_rank::is_passed_over() const {
+    return this->failed_at && this->time.now() - *this->failed_at < config::rank_process_avoid_time;
+}
+
+rank_engine& remote_rank::engine() {
+    if (!this->direct) {
+        this->direct = this->engines.connect_engine(this->engine_address);
     }
-    if (report.last_error().kind != error_kind::unreachable && report.last_error().kind != error_kind::timeout) {
-        return report.last_error();
+    return *this->direct;
+}
+
+result<rank_state> remote_rank::read_state() {
+    if (!this->is_passed_over()) {
+        const result<inner::rank_report> report =
+            call_stream<inner::rank_report>(this->address, this->name, inner::rank_query{}, config::rank_call_timeout);
+        if (report) {
+            return report->state;
+        }
+        this->failed_at = this->time.now();
     }
-    this->direct = this->direct ? std::move(this->direct) : this->engines.connect_engine(this->engine_address);
-    return this->direct->read_state();
+    return this->engine().read_state();
 }
 
 result<std::vector<std::uint64_t>> remote_rank::read_counts() {
@@ -82,13 +93,15 @@
 }
 
 order_outcome remote_rank::give(const rank_order& order) {
-    const result<inner::rank_order_reply> reply = call_stream<inner::rank_order_reply>(
-        this->address, this->name, inner::rank_order_request{order}, config::rank_call_timeout);
-    if (reply) {
-        return reply->outcome;
+    if (!this->is_passed_over()) {
+        const result<inner::rank_order_reply> reply = call_stream<inner::rank_order_reply>(
+            this->address, this->name, inner::rank_order_request{order}, config::rank_call_timeout);
+        if (reply) {
+            return reply->outcome;
+        }
+        this->failed_at = this->time.now();
     }
-    this->direct = this->direct ? std::move(this->direct) : this->engines.connect_engine(this->engine_address);
-    return this->direct->give(order);
+    return this->engine().give(order);
 }
 
 } // namespace pomelohoist
--- a/src/ranks/remote_rank.h
+++ b/src/ranks/remote_rank.h
@@ -3,10 +3,12 @@
 #include "inner/stream_server.h"
 #include "ranks/rank_engine.h"
 
+#include <pomelohoist/clock.h>
 #include <pomelohoist/types.h>
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,7 +37,8 @@
 /// but a switch that has begun must be completed.
 class remote_rank : public rank_engine {
   public:
-    remote_rank(std::string own_name, net_address process, const net_address& engine, rank_engine_source& source);
+    remote_rank(std::string own_name, net_address process, const net_address& engine, rank_engine_source& source,
+                const clock& time_source);
 
     result<rank_state> read_state() override;
     result<std::vector<std::uint64_t>> read_counts() override;
@@ -43,11 +46,17 @@
     order_outcome give(const rank_order& order) override;
 
   private:
+    /// @returns true while the process beside the rank is passed over
+    [[nodiscard]] bool is_passed_over() const;
+    rank_engine& engine();
+
     std::string name;
     net_address address;
     net_address engine_address;
     rank_engine_source& engines;
+    const clock& time;
     std::unique_ptr<rank_engine> direct;
+    std::optional<steady_time> failed_at; ///< when the process beside the rank did not answer
 };
 
 } // namespace pomelohoist
