--- a/src/direct/direct_messages.h
+++ b/src/direct/direct_messages.h
@@ -21,8 +21,8 @@
 struct rank_note {
     std::string group;
     std::uint32_t rank{0};
-    net_address engine; ///< where the rank takes orders and requests
-    bool is_open{true}; ///< the group serves; a broken one refuses requests until it has formed anew
+    net_address engine;          ///< where the rank takes orders and requests
+    bool is_open{true};          ///< the group serves; a broken one refuses requests until it has formed anew
     bool is_coordinating{false}; ///< the sender switches the maps of the group, and tells its peers there often
 
     template <class Archive> void serialize(Archive& archive) {
--- a/src/direct/peer_link.h
+++ b/src/direct/peer_link.h
@@ -68,8 +68,8 @@
     void announce_load();
     /// Tells the others which rank this process runs beside.
     void set_rank(const std::optional<inner::rank_note>& own_rank);
-    /// @returns the processes beside the ranks of the group, this one not included; of two for one rank the one that was
-    /// heard of last
+    /// @returns the processes beside the ranks of the group, this one not included; of two for one rank the one that
+    /// was heard of last
     [[nodiscard]] std::vector<group_peer> group_peers(const std::string& group) const;
     /// @returns engines whose group does not serve, as the live processes beside them say
     [[nodiscard]] std::vector<net_address> closed_engines() const;
--- a/src/ranks/map_switcher.cpp
+++ b/src/ranks/map_switcher.cpp
@@ -30,6 +30,11 @@
     return std::nullopt;
 }
 
+/// @returns how far ahead of the present step a switch is named; no coordinator of the group names one further ahead
+std::uint64_t lead_of(std::uint32_t ranks) {
+    return config::step_lead + ranks / config::ranks_armed_in_a_step;
+}
+
 std::uint64_t last_step(const std::vector<rank_state>& states) {
     std::uint64_t step = 0;
     for (const rank_state& state : states) {
@@ -101,7 +106,7 @@
     }
     if (this->must_learn_steps) {
         // An earlier coordinator names steps at most this far ahead.
-        this->named_until = last_step(states) + config::max_step_lead;
+        this->named_until = last_step(states) + lead_of(this->group.size());
         this->must_learn_steps = false;
     }
 }
@@ -246,7 +251,7 @@
         if (!before || before->epoch != epoch) {
             return std::nullopt;
         }
-        const std::uint64_t step = before->step + config::step_lead;
+        const std::uint64_t step = before->step + lead_of(this->group.size());
         this->name_step(step);
         const order_outcome given = this->give(0, this->order_of(rank_order_kind::hold, epoch, {0, step}));
         if (given == order_outcome::fenced) {
--- a/src/ranks/rank_daemon.cpp
+++ b/src/ranks/rank_daemon.cpp
@@ -130,8 +130,8 @@
             }
             this->note_rank(*own);
             const std::vector<group_peer> peers = this->link->group_peers(own->group);
-            const bool is_first =
-                std::none_of(peers.begin(), peers.end(), [&own](const auto& peer) { return peer.is_live && peer.rank < own->rank; });
+            const bool is_first = std::none_of(
+                peers.begin(), peers.end(), [&own](const auto& peer) { return peer.is_live && peer.rank < own->rank; });
             if (!is_first) {
                 this->end_term();
                 continue;
