--- a/src/ranks/map_coordinator.cpp
+++ b/src/ranks/map_coordinator.cpp
@@ -23,11 +23,11 @@
 
 } // namespace
 
-map_coordinator::map_coordinator(rank_group& controlled, map_switcher& switching, const expert_shape& group_shape,
-                                 const map_policy& tunables, const clock& time_source, structured_log& process_log,
-                                 metrics_registry& metrics)
-    : group(controlled), switcher(switching), shape(group_shape), policy(tunables), time(time_source), log(process_log),
-      switches(metrics.get_counter("map_switches_total")), loads(group_shape.cells(), 0.0) {}
+map_coordinator::map_coordinator(rank_group& controlled, rank_sweep& calls, map_switcher& switching,
+                                 const expert_shape& group_shape, const map_policy& tunables, const clock& time_source,
+                                 structured_log& process_log, metrics_registry& metrics)
+    : group(controlled), sweep(calls), switcher(switching), shape(group_shape), policy(tunables), time(time_source),
+      log(process_log), switches(metrics.get_counter("map_switches_total")), loads(group_shape.cells(), 0.0) {}
 
 bool map_coordinator::run_once() {
     const std::optional<std::vector<rank_state>> states = this->switcher.read_states();
@@ -63,13 +63,15 @@
 
 bool map_coordinator::observe(const std::vector<rank_state>& states) {
     std::vector<double> chosen(this->shape.cells(), 0.0);
+    std::vector<result<std::vector<std::uint64_t>>> read(states.size(), failure{error_kind::unreachable, "not read"});
+    this->sweep.for_each(static_cast<std::uint32_t>(states.size()),
+                         [this, &read](std::uint32_t rank) { read[rank] = this->group.rank(rank).read_counts(); });
     std::vector<std::vector<std::uint64_t>> counts;
-    for (std::uint32_t i = 0; i < states.size(); ++i) {
-        result<std::vector<std::uint64_t>> read = this->group.rank(i).read_counts();
-        if (!read || read->size() != this->shape.cells()) {
+    for (result<std::vector<std::uint64_t>>& each : read) {
+        if (!each || each->size() != this->shape.cells()) {
             return false;
         }
-        counts.push_back(std::move(*read));
+        counts.push_back(std::move(*each));
     }
     const bool has_last = this->last_counts.size() == counts.size();
     for (std::size_t i = 0; has_last && i < counts.size(); ++i) {
--- a/src/ranks/map_coordinator.h
+++ b/src/ranks/map_coordinator.h
@@ -38,7 +38,7 @@
 /// @attention used by one thread
 class map_coordinator {
   public:
-    map_coordinator(rank_group& controlled, map_switcher& switches, const expert_shape& group_shape,
+    map_coordinator(rank_group& controlled, rank_sweep& calls, map_switcher& switches, const expert_shape& group_shape,
                     const map_policy& tunables, const clock& time_source, structured_log& process_log,
                     metrics_registry& metrics);
 
@@ -54,6 +54,7 @@
     [[nodiscard]] std::optional<std::vector<std::uint32_t>> plan() const;
 
     rank_group& group;
+    rank_sweep& sweep;
     map_switcher& switcher;
     expert_shape shape;
     map_policy policy;
--- a/src/ranks/map_switcher.cpp
+++ b/src/ranks/map_switcher.cpp
@@ -45,8 +45,8 @@
 
 } // namespace
 
-map_switcher::map_switcher(rank_group& controlled, pause_source& waits, structured_log& process_log)
-    : group(controlled), waiter(waits), log(process_log) {}
+map_switcher::map_switcher(rank_group& controlled, rank_sweep& calls, pause_source& waits, structured_log& process_log)
+    : group(controlled), sweep(calls), waiter(waits), log(process_log) {}
 
 void map_switcher::take_over(std::uint64_t fencing_token) {
     this->token = fencing_token;
@@ -60,23 +60,30 @@
 bool map_switcher::fence_all(std::uint64_t epoch) {
     // Ends a hold of a step that never comes, so it changes nothing.
     const rank_order harmless = this->order_of(rank_order_kind::go, epoch, {0, 0});
-    for (std::uint32_t i = 0; i < this->group.size(); ++i) {
-        order_outcome shown = order_outcome::unanswered;
-        for (std::uint32_t attempt = 0; shown == order_outcome::unanswered && attempt < config::order_attempts;
+    const std::vector<order_outcome> shown = this->give_all(harmless);
+    return std::none_of(shown.begin(), shown.end(), [](order_outcome outcome) {
+        return outcome == order_outcome::unanswered || outcome == order_outcome::fenced;
+    });
+}
+
+std::vector<order_outcome> map_switcher::give_all(const rank_order& order) {
+    std::vector<order_outcome> outcomes(this->group.size(), order_outcome::unanswered);
+    this->sweep.for_each(this->group.size(), [this, &order, &outcomes](std::uint32_t rank) {
+        for (std::uint32_t attempt = 0; outcomes[rank] == order_outcome::unanswered && attempt < config::order_attempts;
              ++attempt) {
-            shown = this->give(i, harmless);
-        }
-        if (shown == order_outcome::unanswered || shown == order_outcome::fenced) {
-            return false;
+            outcomes[rank] = this->give(rank, order);
         }
-    }
-    return true;
+    });
+    return outcomes;
 }
 
 std::optional<std::vector<rank_state>> map_switcher::read_states() {
+    std::vector<result<rank_state>> read(this->group.size(), failure{error_kind::unreachable, "not read"});
+    this->sweep.for_each(this->group.size(),
+                         [this, &read](std::uint32_t rank) { read[rank] = this->group.rank(rank).read_state(); });
     std::vector<rank_state> states;
     for (std::uint32_t i = 0; i < this->group.size(); ++i) {
-        result<rank_state> state = this->group.rank(i).read_state();
+        const result<rank_state>& state = read[i];
         if (!state || !state->is_open || state->rank != i || state->ranks != this->group.size() ||
             (!states.empty() && states.front().epoch != state->epoch)) {
             this->log.info("group_unreadable",
@@ -84,7 +91,7 @@
                             {"reason", state ? "another state or epoch" : state.last_error().reason}});
             return std::nullopt;
         }
-        states.push_back(std::move(*state));
+        states.push_back(*state);
     }
     if (!states.empty()) {
         this->note_epoch(states);
@@ -215,20 +222,14 @@
 }
 
 map_switcher::outcome map_switcher::prepare_all(const rank_order& order) {
-    for (std::uint32_t i = 0; i < this->group.size(); ++i) {
-        order_outcome given = order_outcome::unanswered;
-        for (std::uint32_t attempt = 0; given == order_outcome::unanswered && attempt < config::order_attempts;
-             ++attempt) {
-            given = this->give(i, order);
-        }
+    outcome all = outcome::switched;
+    for (const order_outcome given : this->give_all(order)) {
         if (given == order_outcome::fenced) {
             return outcome::fenced;
         }
-        if (given == order_outcome::refused) {
-            return outcome::not_begun;
-        }
+        all = given == order_outcome::refused ? outcome::not_begun : all;
     }
-    return outcome::switched;
+    return all;
 }
 
 map_switcher::outcome map_switcher::wait_prepared(std::uint64_t epoch, std::uint64_t version) {
@@ -269,27 +270,30 @@
 map_switcher::outcome map_switcher::complete(std::uint64_t epoch, const armed_switch& wanted, const held_step& hold) {
     this->name_step(wanted.step);
     const rank_order arm = this->order_of(rank_order_kind::arm, epoch, wanted);
-    std::vector<bool> is_armed(this->group.size(), false);
-    while (true) {
-        for (std::uint32_t i = 0; i < this->group.size(); ++i) {
-            if (!is_armed[i] && this->give(i, arm) == order_outcome::fenced) {
-                return outcome::fenced;
+    // No vector of bool: its elements share bytes, and several threads write them.
+    std::vector<std::uint8_t> is_armed(this->group.size(), 0);
+    std::atomic<bool> is_lost{false};
+    while (std::count(is_armed.begin(), is_armed.end(), 0) > 0) {
+        this->sweep.for_each(this->group.size(), [this, &arm, &is_armed](std::uint32_t rank) {
+            if (is_armed[rank] == 0) {
+                this->give(rank, arm);
             }
+        });
+        if (this->is_fenced_off) {
+            return outcome::fenced;
         }
         // Read after the last order: a rank counts as armed by its own report only.
-        bool all_armed = true;
-        for (std::uint32_t i = 0; i < this->group.size(); ++i) {
-            const result<rank_state> state = this->group.rank(i).read_state();
-            if (state && state->epoch != epoch) {
-                return outcome::lost;
-            }
-            is_armed[i] = state && state->is_open && (state->armed == wanted || state->map_version == wanted.version);
-            all_armed = all_armed && is_armed[i];
-        }
-        if (all_armed) {
-            break;
+        this->sweep.for_each(this->group.size(), [this, epoch, &wanted, &is_armed, &is_lost](std::uint32_t rank) {
+            const result<rank_state> state = this->group.rank(rank).read_state();
+            is_lost = is_lost || (state && state->epoch != epoch);
+            const bool has_switched = state && state->map_version == wanted.version;
+            is_armed[rank] = state && state->is_open && (state->armed == wanted || has_switched) ? 1 : 0;
+        });
+        if (is_lost) {
+            return outcome::lost;
         }
-        if (!this->waiter.pause(config::arm_retry_ms)) {
+        const bool all_armed = std::count(is_armed.begin(), is_armed.end(), 0) == 0;
+        if (!all_armed && !this->waiter.pause(config::arm_retry_ms)) {
             return outcome::lost;
         }
     }
--- a/src/ranks/map_switcher.h
+++ b/src/ranks/map_switcher.h
@@ -2,9 +2,11 @@
 
 #include "common/log.h"
 #include "ranks/rank_engine.h"
+#include "ranks/rank_sweep.h"
 
 #include <pomelohoist/expert_balance.h>
 
+#include <atomic>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -43,7 +45,7 @@
         count
     };
 
-    map_switcher(rank_group& controlled, pause_source& waits, structured_log& process_log);
+    map_switcher(rank_group& controlled, rank_sweep& calls, pause_source& waits, structured_log& process_log);
 
     /// Must be called when this process takes over a group, with the fencing token that it got.
     void take_over(std::uint64_t fencing_token);
@@ -76,17 +78,20 @@
     outcome complete(std::uint64_t epoch, const armed_switch& wanted, const held_step& hold);
     outcome release(std::uint64_t epoch, const held_step& hold);
     order_outcome give(std::uint32_t rank, const rank_order& order);
+    /// Gives an order to all ranks, to each one until it answers, a few times at most.
+    std::vector<order_outcome> give_all(const rank_order& order);
     rank_order order_of(rank_order_kind kind, std::uint64_t epoch, const armed_switch& wanted) const;
     std::optional<std::vector<rank_state>> read_states(std::uint64_t epoch);
     void name_step(std::uint64_t step);
     void note_epoch(const std::vector<rank_state>& states);
 
     rank_group& group;
+    rank_sweep& sweep;
     pause_source& waiter;
     structured_log& log;
     std::uint64_t token{0};
     std::uint64_t seen_epoch{0};
-    bool is_fenced_off{false};
+    std::atomic<bool> is_fenced_off{false};
     bool has_fenced{false}; ///< all ranks have seen the token in this epoch
     std::uint64_t next_version{0};
     std::uint64_t named_until{0}; ///< no earlier switch has named a step beyond this one
--- a/src/ranks/rank_daemon.cpp
+++ b/src/ranks/rank_daemon.cpp
@@ -190,13 +190,13 @@
                                                              peer.engine, this->platform, this->context.time);
         }
         this->group = std::make_unique<reached_group>(std::move(ranks));
-        this->switcher = std::make_unique<map_switcher>(*this->group, *this, this->context.log);
+        this->switcher = std::make_unique<map_switcher>(*this->group, this->sweep, *this, this->context.log);
         this->switcher->take_over(*fence);
         map_policy policy;
         policy.max_new = this->max_new;
         this->coordinator =
-            std::make_unique<map_coordinator>(*this->group, *this->switcher, *shape, policy, this->context.time,
-                                              this->context.log, this->context.metrics);
+            std::make_unique<map_coordinator>(*this->group, this->sweep, *this->switcher, *shape, policy,
+                                              this->context.time, this->context.log, this->context.metrics);
         this->context.log.info("coordination_begun", {{"group", own.group}, {"fence", std::to_string(*fence)}});
         this->note_rank(own);
         return true;
@@ -233,6 +233,7 @@
     std::unique_ptr<store_follower> follower;
     std::optional<inner::rank_note> noted;
     std::uint32_t max_new{0};
+    parallel_sweep sweep;
     std::unique_ptr<reached_group> group;
     std::unique_ptr<map_switcher> switcher;
     std::unique_ptr<map_coordinator> coordinator;
--- a/tests/ranks/map_switcher_test.cpp
+++ b/tests/ranks/map_switcher_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <random>
 
@@ -34,10 +35,10 @@
 
     /// One coordinator works until it dies, is fenced off, or has done its rounds.
     void run_term(int rounds) {
-        map_switcher switcher{this->group, this->group, this->log};
+        map_switcher switcher{this->group, this->sweep, this->group, this->log};
         switcher.take_over(++this->fence);
-        map_coordinator coordinator{this->group,        switcher,  small_shape,  test_policy(),
-                                    this->group.time(), this->log, this->metrics};
+        map_coordinator coordinator{this->group,   this->sweep,        switcher,  small_shape,
+                                    test_policy(), this->group.time(), this->log, this->metrics};
         try {
             for (int i = 0; i < rounds; ++i) {
                 this->shift_demand();
@@ -60,6 +61,7 @@
         }
     }
 
+    sequential_sweep sweep; // virtual time has one thread
     std::mt19937_64 random;
     structured_log log;
     metrics_registry metrics;
@@ -125,9 +127,10 @@
 TEST(map_switcher_test, an_older_coordinator_is_fenced_off) {
     simulated_group group{small_shape, group_faults{}, 1};
     structured_log log = make_null_log();
-    map_switcher older{group, group, log};
+    sequential_sweep sweep;
+    map_switcher older{group, sweep, group, log};
     older.take_over(1);
-    map_switcher newer{group, group, log};
+    map_switcher newer{group, sweep, group, log};
     newer.take_over(2);
     group.pause(5000);
     std::vector<std::uint32_t> slots(small_shape.slots(), no_expert);
@@ -145,5 +148,15 @@
     EXPECT_EQ(older.switch_to(*seen, small_shape, slots), map_switcher::outcome::fenced);
 }
 
+// Guards against a rank that a sweep leaves out or calls twice.
+TEST(rank_sweep_test, calls_each_rank_once) {
+    parallel_sweep sweep;
+    for (const std::uint32_t ranks : {0U, 1U, 8U, 100U}) {
+        std::vector<std::uint8_t> called(ranks, 0);
+        sweep.for_each(ranks, [&called](std::uint32_t rank) { ++called[rank]; });
+        EXPECT_EQ(std::count(called.begin(), called.end(), 1), static_cast<std::ptrdiff_t>(ranks));
+    }
+}
+
 } // namespace
 } // namespace pomelohoist
