--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -119,7 +119,7 @@
 // Map switches of ranks that take orders. A step takes some 50 ms; arming eight ranks takes some 50 ms.
 inline constexpr std::uint64_t step_lead = 5;
 inline constexpr std::uint64_t ranks_armed_in_a_step = 8; // one call to a rank, and one to read it, take some 6 ms
-inline constexpr std::uint32_t rank_sweep_threads = 8; // a few kilobytes of stack each, only while a sweep lasts
+inline constexpr std::uint32_t rank_sweep_threads = 8;    // a few kilobytes of stack each, only while a sweep lasts
 inline constexpr std::uint32_t order_attempts = 5;
 inline constexpr std::uint32_t prepare_checks = 40;
 inline constexpr std::uint32_t prepare_check_ms = 100; // a copy of 24 experts takes 1.2 s
