--- a/tests/direct/direct_fixture.h
+++ b/tests/direct/direct_fixture.h
@@ -4,6 +4,7 @@
 #include "direct/caller_front.h"
 #include "direct/direct_service.h"
 #include "direct/peer_link.h"
+#include "platform_headers.h"
 #include "support/http_client.h"
 #include "support/scripted_endpoint.h"
 
@@ -16,19 +17,6 @@
 /// An entry that forwards directly, with endpoints that the test writes.
 namespace pomelohoist {
 
-inline header_names test_headers() {
-    header_names names;
-    names.request_id = "X-Pomelohoist-Attempt-Id";
-    names.deadline_ms = "X-Pomelohoist-Deadline-Ms";
-    names.api_key = "X-Api-Key";
-    names.workspace = "X-Pomelohoist-Tenant";
-    names.expected_instance = "X-Pomelohoist-Expect-Instance";
-    names.importance = "X-Pomelohoist-Request-Priority";
-    names.signature = "X-Pomelohoist-Response-Stamp";
-    names.not_run = "X-Pomelohoist-Not-Executed";
-    return names;
-}
-
 inline route test_route(const std::string& prefix, repeat_rule repeat, std::uint32_t max_endpoints) {
     route way;
     way.name = prefix;
@@ -85,7 +73,7 @@
     structured_log log{make_null_log()};
     metrics_registry metrics;
     seeded_random random{1};
-    header_names names{test_headers()};
+    header_names names{platform::make_header_names()};
     shared_view shared{this->time, this->log};
     load_board board{this->time};
     peer_link link{{{"entry", {"127.0.0.1", 0}}, true, {}}, this->shared, this->board, nullptr, this->time, this->log};
