Plan a group's map in the first round after all processes have started

Cause: after a loss of power a group forms with the first map, whose most loaded rank has 3.1 times the mean.

Change: the coordinator keeps the experts' loads in the store (one write in 3 s for each group) and a new one recalls them; it need not wait for named steps while a rank of the group was never prepared, since a step is only held after all were; the experts are asked for in parallel. The engine beside the process is now a plain member of the group, without a class that only forwards.

Ruled out: keeping the loads with the peers, which lose power together; using the counts since the start, which are zero then.

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -128,6 +128,9 @@
 inline constexpr std::chrono::milliseconds rank_order_timeout{120}; // an engine answers at once, or seconds late
 inline constexpr std::chrono::milliseconds rank_process_avoid_time{2000};
 inline constexpr std::chrono::milliseconds map_interval{300};
+// The demand keeps its proportions for some seconds; each call to the store is paid for.
+inline constexpr std::chrono::milliseconds loads_save_interval{3000};
+inline constexpr std::chrono::milliseconds loads_save_patience{12000}; // after a failure: each costs a call's timeout
 
 // Direct forwarding: requests.
 inline constexpr std::chrono::milliseconds endpoint_connect_timeout{300};
--- a/src/ranks/map_coordinator.cpp
+++ b/src/ranks/map_coordinator.cpp
@@ -2,6 +2,8 @@
 
 #include "balance/layer_planner.h"
 
+#include <pomelohoist/config.h>
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -23,13 +25,45 @@
 
 } // namespace
 
-map_coordinator::map_coordinator(rank_group& controlled, rank_sweep& calls, map_switcher& switching,
-                                 const expert_shape& group_shape, const map_policy& tunables, const clock& time_source,
-                                 structured_log& process_log, metrics_registry& metrics)
-    : group(controlled), sweep(calls), switcher(switching), shape(group_shape), policy(tunables), time(time_source),
-      log(process_log), switches(metrics.get_counter("map_switches_total")), loads(group_shape.cells(), 0.0) {}
+map_coordinator::map_coordinator(std::string group_name, rank_group& controlled, rank_sweep& calls,
+                                 map_switcher& switching, load_memory& kept_loads, const expert_shape& group_shape,
+                                 const map_policy& tunables, const clock& time_source, structured_log& process_log,
+                                 metrics_registry& metrics)
+    : name(std::move(group_name)), group(controlled), sweep(calls), switcher(switching), memory(kept_loads),
+      shape(group_shape), policy(tunables), time(time_source), log(process_log),
+      switches(metrics.get_counter("map_switches_total")), loads(group_shape.cells(), 0.0) {}
+
+void map_coordinator::recall_loads() {
+    result<std::vector<double>> kept = this->memory.recall(this->name);
+    if (!kept) {
+        this->log.info("loads_not_recalled", {{"group", this->name}, {"reason", kept.last_error().reason}});
+        return;
+    }
+    this->has_recalled = true;
+    if (kept->size() == this->loads.size()) {
+        this->loads = std::move(*kept);
+    } else if (!kept->empty()) {
+        this->log.warn("loads_not_recalled", {{"group", this->name}, {"reason", "they are of another shape"}});
+    }
+}
+
+void map_coordinator::save_loads_when_due() {
+    const steady_time now = this->time.now();
+    if (this->save_after && now < *this->save_after) {
+        return;
+    }
+    const result<done> saved = this->memory.save(this->name, this->loads);
+    // A store in trouble would delay the rounds.
+    this->save_after = now + (saved ? config::loads_save_interval : config::loads_save_patience);
+    if (!saved) {
+        this->log.info("loads_not_saved", {{"group", this->name}, {"reason", saved.last_error().reason}});
+    }
+}
 
 bool map_coordinator::run_once() {
+    if (!this->has_recalled) {
+        this->recall_loads();
+    }
     const std::optional<std::vector<rank_state>> states = this->switcher.read_states();
     if (!states) {
         this->observed_at.reset();
@@ -50,6 +84,7 @@
     }
     const std::optional<std::vector<std::uint32_t>> planned = this->learn_slots(*states) ? this->plan() : std::nullopt;
     if (!planned) {
+        this->save_loads_when_due();
         return true;
     }
     const map_switcher::outcome outcome = this->switcher.switch_to(*states, this->shape, *planned);
@@ -87,13 +122,17 @@
     const double elapsed = this->observed_at ? std::chrono::duration<double>(now - *this->observed_at).count() : 0.0;
     this->observed_at = now;
     if (!has_last || elapsed <= 0.0) {
-        return false;
+        return this->knows_loads();
     }
     const double keep = std::exp(-elapsed / this->policy.window_s);
     for (std::size_t cell = 0; cell < chosen.size(); ++cell) {
         this->loads[cell] = this->loads[cell] * keep + chosen[cell];
     }
-    return std::accumulate(this->loads.begin(), this->loads.end(), 0.0) > 0.0;
+    return this->knows_loads();
+}
+
+bool map_coordinator::knows_loads() const {
+    return std::any_of(this->loads.begin(), this->loads.end(), [](double load) { return load > 0.0; });
 }
 
 void map_coordinator::observe_step_time(const std::vector<rank_state>& states) {
@@ -116,9 +155,12 @@
     if (!this->slots_in_force.empty() && version == this->version_in_force) {
         return true;
     }
+    std::vector<result<rank_experts>> read(this->shape.ranks, failure{error_kind::unreachable, "not read"});
+    this->sweep.for_each(this->shape.ranks,
+                         [this, &read](std::uint32_t rank) { read[rank] = this->group.rank(rank).read_experts(); });
     std::vector<std::uint32_t> slots(this->shape.slots(), no_expert);
     for (std::uint32_t rank = 0; rank < this->shape.ranks; ++rank) {
-        const result<rank_experts> held = this->group.rank(rank).read_experts();
+        const result<rank_experts>& held = read[rank];
         if (!held || held->map_version != version || held->by_layer.size() != this->shape.layers) {
             return false;
         }
--- a/src/ranks/map_switcher.cpp
+++ b/src/ranks/map_switcher.cpp
@@ -30,6 +30,13 @@
     return std::nullopt;
 }
 
+/// @returns true when nobody has named a step in this epoch: a coordinator holds one only after it has seen a map
+/// prepared on all ranks, and a rank that has been prepared shows that until the group forms anew
+bool is_untouched(const std::vector<rank_state>& states) {
+    return std::any_of(states.begin(), states.end(),
+                       [](const rank_state& state) { return state.map_version == 0 && state.prepared_version == 0; });
+}
+
 /// @returns how far ahead of the present step a switch is named; no coordinator of the group names one further ahead
 std::uint64_t lead_of(std::uint32_t ranks) {
     return config::step_lead + ranks / config::ranks_armed_in_a_step;
@@ -163,7 +170,7 @@
     const std::optional<armed_switch> armed = find_armed(states);
     const auto held = find_hold(states);
     if (!armed && !held) {
-        return this->is_past_named_steps(states);
+        return is_untouched(states) || this->is_past_named_steps(states);
     }
     const bool all_armed =
         std::all_of(states.begin(), states.end(), [&armed](const rank_state& state) { return state.armed == armed; });
--- a/src/ranks/map_switcher.h
+++ b/src/ranks/map_switcher.h
@@ -34,7 +34,8 @@
 ///
 /// Why late orders are harmless: `arm` is refused once its step has begun, and the step begins only when all ranks are
 /// armed. `prepare` is refused for an old version. `hold` and `go` name a step, and no step is named twice: a new
-/// switch waits until the group is past every step that an earlier one may have named.
+/// switch waits until the group is past every step that an earlier one may have named. A group that has just formed
+/// need not wait: while a rank of it was never prepared, nobody has named a step there.
 class map_switcher {
   public:
     enum class outcome : std::uint8_t {
--- a/src/ranks/rank_daemon.cpp
+++ b/src/ranks/rank_daemon.cpp
@@ -47,25 +47,25 @@
 /// The ranks of the group that this process coordinates.
 class reached_group : public rank_group {
   public:
-    explicit reached_group(std::vector<std::unique_ptr<rank_engine>> reached) : ranks(std::move(reached)) {}
+    /// @param beside the engine beside this process, whose rank is `own`
+    reached_group(std::uint32_t size, std::uint32_t own, rank_engine& beside) : ranks(size, nullptr) {
+        this->ranks[own] = &beside;
+    }
     [[nodiscard]] std::uint32_t size() const override { return static_cast<std::uint32_t>(this->ranks.size()); }
     rank_engine& rank(std::uint32_t index) override { return *this->ranks[index]; }
+    /// @returns false when the rank is not one of the group, or is there already
+    bool add(std::uint32_t rank, std::unique_ptr<rank_engine> reached) {
+        if (rank >= this->ranks.size() || this->ranks[rank] != nullptr) {
+            return false;
+        }
+        this->ranks[rank] = reached.get();
+        this->others.push_back(std::move(reached));
+        return true;
+    }
 
   private:
-    std::vector<std::unique_ptr<rank_engine>> ranks;
-};
-
-/// The engine beside this process as a member of the group.
-class own_rank : public rank_engine {
-  public:
-    explicit own_rank(rank_engine& beside) : engine(beside) {}
-    result<rank_state> read_state() override { return this->engine.read_state(); }
-    result<std::vector<std::uint64_t>> read_counts() override { return this->engine.read_counts(); }
-    result<rank_experts> read_experts() override { return this->engine.read_experts(); }
-    order_outcome give(const rank_order& order) override { return this->engine.give(order); }
-
-  private:
-    rank_engine& engine;
+    std::vector<rank_engine*> ranks;
+    std::vector<std::unique_ptr<rank_engine>> others;
 };
 
 class rank_daemon : public daemon, public pause_source {
@@ -88,6 +88,7 @@
             return failure{error_kind::invalid_settings, "the address cannot be bound: " + error.displayText()};
         }
         this->store = this->platform.connect_store(this->values, this->context.log);
+        this->memory = this->platform.connect_load_memory(this->values);
         this->follower = std::make_unique<store_follower>(*this->store, own, false, *this->shared, *this->link,
                                                           this->context.time, this->context.log, this->context.metrics);
         this->link->start();
@@ -171,7 +172,7 @@
     /// Begins to coordinate, once all ranks of the group are known.
     bool begin_term(const rank_state& own, const std::vector<group_peer>& peers) {
         const std::optional<expert_shape> shape = this->find_shape(own.ranks);
-        if (!shape || peers.size() + 1 != own.ranks) {
+        if (!shape || own.rank >= own.ranks || peers.size() + 1 != own.ranks) {
             return false;
         }
         const result<std::uint64_t> fence =
@@ -180,23 +181,22 @@
             this->context.log.warn("fence_not_taken", {{"group", own.group}, {"reason", fence.last_error().reason}});
             return false;
         }
-        std::vector<std::unique_ptr<rank_engine>> ranks(own.ranks);
-        ranks[own.rank] = std::make_unique<own_rank>(*this->engine);
+        auto ranks = std::make_unique<reached_group>(own.ranks, own.rank, *this->engine);
         for (const group_peer& peer : peers) {
-            if (peer.rank >= own.ranks || ranks[peer.rank]) {
+            if (!ranks->add(peer.rank,
+                            std::make_unique<remote_rank>(this->values.text("process.name"), peer.address, peer.engine,
+                                                          this->platform, this->context.time))) {
                 return false;
             }
-            ranks[peer.rank] = std::make_unique<remote_rank>(this->values.text("process.name"), peer.address,
-                                                             peer.engine, this->platform, this->context.time);
         }
-        this->group = std::make_unique<reached_group>(std::move(ranks));
+        this->group = std::move(ranks);
         this->switcher = std::make_unique<map_switcher>(*this->group, this->sweep, *this, this->context.log);
         this->switcher->take_over(*fence);
         map_policy policy;
         policy.max_new = this->max_new;
-        this->coordinator =
-            std::make_unique<map_coordinator>(*this->group, this->sweep, *this->switcher, *shape, policy,
-                                              this->context.time, this->context.log, this->context.metrics);
+        this->coordinator = std::make_unique<map_coordinator>(own.group, *this->group, this->sweep, *this->switcher,
+                                                              *this->memory, *shape, policy, this->context.time,
+                                                              this->context.log, this->context.metrics);
         this->context.log.info("coordination_begun", {{"group", own.group}, {"fence", std::to_string(*fence)}});
         this->note_rank(own);
         return true;
@@ -230,6 +230,7 @@
     std::unique_ptr<rank_server> server;
     std::unique_ptr<peer_link> link;
     std::unique_ptr<control_store> store;
+    std::unique_ptr<load_memory> memory;
     std::unique_ptr<store_follower> follower;
     std::optional<inner::rank_note> noted;
     std::uint32_t max_new{0};
--- a/tests/ranks/simulated_group.cpp
+++ b/tests/ranks/simulated_group.cpp
@@ -239,15 +239,19 @@
 bool simulated_group::pause(std::uint32_t milliseconds) {
     this->maybe_interrupt();
     if (this->chance(this->faults.new_epoch)) {
-        ++this->epoch;
-        ++this->epochs;
-        this->form_anew();
+        this->lose_power();
     }
     this->is_idle = this->chance(this->faults.idle);
     this->advance(milliseconds);
     return true;
 }
 
+void simulated_group::lose_power() {
+    ++this->epoch;
+    ++this->epochs;
+    this->form_anew();
+}
+
 void simulated_group::calm_down() {
     this->faults = {};
     this->is_idle = false;
--- a/tests/ranks/simulated_group.h
+++ b/tests/ranks/simulated_group.h
@@ -42,6 +42,8 @@
     /// Lets virtual time pass.
     bool pause(std::uint32_t milliseconds) override;
     [[nodiscard]] const clock& time() const { return this->virtual_time; }
+    /// Starts all ranks anew: the group forms in a new epoch with the first map.
+    void lose_power();
     /// Carries out what is late and lets the group run without faults.
     void calm_down();
 
--- a/tests/support/row_store.cpp
+++ b/tests/support/row_store.cpp
@@ -175,12 +175,13 @@
 std::pair<int, std::string> row_store::read(const std::map<std::string, std::string>& query) {
     const std::string table = query.at("table");
     const std::string from = query.contains("from") ? query.at("from") : "";
+    const std::optional<std::string> to = query.contains("to") ? std::optional{query.at("to")} : std::nullopt;
     constexpr std::size_t page = 3; // small, so that tests read several pages
     const std::lock_guard lock{this->mutex};
     json found = json::array();
     bool has_more = false;
     for (const auto& [place, content] : this->rows) {
-        if (place.first != table || content.is_removed || place.second < from) {
+        if (place.first != table || content.is_removed || place.second < from || (to && place.second >= *to)) {
             continue;
         }
         if (found.size() == page) {
