Count the experts' loads while a group forms; no longer keep them in the store

Cause: the kept loads did not help.

Change: the store keeps no loads. The coordinator reads the counts also while the group forms, and every 100 ms until the first plan, so that the first steps are enough to plan by; a plan needs ten choices for each expert. The process beside a rank asks its engine every 100 ms while the group is closed, so that the entries hear sooner that it has opened.

Ruled out: the store as memory of the loads (above); counts since the start of the ranks as the first sample, which are old where only one rank crashed.

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -128,9 +128,11 @@
 inline constexpr std::chrono::milliseconds rank_order_timeout{120}; // an engine answers at once, or seconds late
 inline constexpr std::chrono::milliseconds rank_process_avoid_time{2000};
 inline constexpr std::chrono::milliseconds map_interval{300};
-// The demand keeps its proportions for some seconds; each call to the store is paid for.
-inline constexpr std::chrono::milliseconds loads_save_interval{3000};
-inline constexpr std::chrono::milliseconds loads_save_patience{12000}; // after a failure: each costs a call's timeout
+// While a group forms and until its first plan: streams that begin on the first map, with three times the mean load on
+// one rank, pause too long. Two steps of some 50 ms.
+inline constexpr std::chrono::milliseconds forming_map_interval{100};
+inline constexpr std::uint32_t fast_map_rounds = 20;    // without work the group may wait as long as any other
+inline constexpr double least_sample_per_expert = 10.0; // standard error of a mean count: a third
 
 // Direct forwarding: requests.
 inline constexpr std::chrono::milliseconds endpoint_connect_timeout{300};
--- a/src/ranks/map_coordinator.cpp
+++ b/src/ranks/map_coordinator.cpp
@@ -25,66 +25,39 @@
 
 } // namespace
 
-map_coordinator::map_coordinator(std::string group_name, rank_group& controlled, rank_sweep& calls,
-                                 map_switcher& switching, load_memory& kept_loads, const expert_shape& group_shape,
-                                 const map_policy& tunables, const clock& time_source, structured_log& process_log,
-                                 metrics_registry& metrics)
-    : name(std::move(group_name)), group(controlled), sweep(calls), switcher(switching), memory(kept_loads),
-      shape(group_shape), policy(tunables), time(time_source), log(process_log),
-      switches(metrics.get_counter("map_switches_total")), loads(group_shape.cells(), 0.0) {}
-
-void map_coordinator::recall_loads() {
-    result<std::vector<double>> kept = this->memory.recall(this->name);
-    if (!kept) {
-        this->log.info("loads_not_recalled", {{"group", this->name}, {"reason", kept.last_error().reason}});
-        return;
-    }
-    this->has_recalled = true;
-    if (kept->size() == this->loads.size()) {
-        this->loads = std::move(*kept);
-    } else if (!kept->empty()) {
-        this->log.warn("loads_not_recalled", {{"group", this->name}, {"reason", "they are of another shape"}});
-    }
-}
-
-void map_coordinator::save_loads_when_due() {
-    const steady_time now = this->time.now();
-    if (this->save_after && now < *this->save_after) {
-        return;
-    }
-    const result<done> saved = this->memory.save(this->name, this->loads);
-    // A store in trouble would delay the rounds.
-    this->save_after = now + (saved ? config::loads_save_interval : config::loads_save_patience);
-    if (!saved) {
-        this->log.info("loads_not_saved", {{"group", this->name}, {"reason", saved.last_error().reason}});
-    }
-}
+map_coordinator::map_coordinator(rank_group& controlled, rank_sweep& calls, map_switcher& switching,
+                                 const expert_shape& group_shape, const map_policy& tunables, const clock& time_source,
+                                 structured_log& process_log, metrics_registry& metrics)
+    : group(controlled), sweep(calls), switcher(switching), shape(group_shape), policy(tunables), time(time_source),
+      log(process_log), switches(metrics.get_counter("map_switches_total")), loads(group_shape.cells(), 0.0) {}
 
 bool map_coordinator::run_once() {
-    if (!this->has_recalled) {
-        this->recall_loads();
-    }
     const std::optional<std::vector<rank_state>> states = this->switcher.read_states();
+    // Also counted while the group does not serve: its first map then follows from the first steps.
+    this->observe_counts();
     if (!states) {
-        this->observed_at.reset();
+        this->step_observed_at.reset();
+        this->rounds_to_first_plan = config::fast_map_rounds;
         return true;
     }
     if (states->front().epoch != this->epoch) {
         this->epoch = states->front().epoch;
         this->slots_in_force.clear();
-        this->last_counts.clear();
-        this->observed_at.reset();
+        this->step_observed_at.reset();
+        this->rounds_to_first_plan = config::fast_map_rounds;
     }
+    this->observe_step_time(*states);
     const bool is_free = this->switcher.settle(*states);
     if (this->switcher.is_superseded()) {
         return false;
     }
-    if (!this->observe(*states) || !is_free) {
+    this->rounds_to_first_plan -= this->is_forming() ? 1 : 0;
+    if (!this->knows_loads() || !is_free) {
         return true;
     }
+    this->rounds_to_first_plan = 0;
     const std::optional<std::vector<std::uint32_t>> planned = this->learn_slots(*states) ? this->plan() : std::nullopt;
     if (!planned) {
-        this->save_loads_when_due();
         return true;
     }
     const map_switcher::outcome outcome = this->switcher.switch_to(*states, this->shape, *planned);
@@ -96,53 +69,55 @@
     return outcome != map_switcher::outcome::fenced;
 }
 
-bool map_coordinator::observe(const std::vector<rank_state>& states) {
-    std::vector<double> chosen(this->shape.cells(), 0.0);
-    std::vector<result<std::vector<std::uint64_t>>> read(states.size(), failure{error_kind::unreachable, "not read"});
-    this->sweep.for_each(static_cast<std::uint32_t>(states.size()),
+void map_coordinator::observe_counts() {
+    std::vector<result<std::vector<std::uint64_t>>> read(this->shape.ranks,
+                                                         failure{error_kind::unreachable, "not read"});
+    this->sweep.for_each(this->shape.ranks,
                          [this, &read](std::uint32_t rank) { read[rank] = this->group.rank(rank).read_counts(); });
     std::vector<std::vector<std::uint64_t>> counts;
     for (result<std::vector<std::uint64_t>>& each : read) {
         if (!each || each->size() != this->shape.cells()) {
-            return false;
+            return; // the next round that reads all ranks has the difference
         }
         counts.push_back(std::move(*each));
     }
-    const bool has_last = this->last_counts.size() == counts.size();
-    for (std::size_t i = 0; has_last && i < counts.size(); ++i) {
-        for (std::size_t cell = 0; cell < chosen.size(); ++cell) {
-            // A rank that has started anew counts from zero.
-            const std::uint64_t before = counts[i][cell] >= this->last_counts[i][cell] ? this->last_counts[i][cell] : 0;
-            chosen[cell] += static_cast<double>(counts[i][cell] - before);
-        }
+    if (this->last_counts.size() == counts.size()) {
+        this->add_chosen(counts);
     }
     this->last_counts = std::move(counts);
-    this->observe_step_time(states);
-    const steady_time now = this->time.now();
-    const double elapsed = this->observed_at ? std::chrono::duration<double>(now - *this->observed_at).count() : 0.0;
-    this->observed_at = now;
-    if (!has_last || elapsed <= 0.0) {
-        return this->knows_loads();
+    this->counted_at = this->time.now();
+}
+
+void map_coordinator::add_chosen(const std::vector<std::vector<std::uint64_t>>& counts) {
+    const std::chrono::duration<double> elapsed = this->time.now() - this->counted_at;
+    const double keep = std::exp(-elapsed.count() / this->policy.window_s);
+    for (double& load : this->loads) {
+        load *= keep;
     }
-    const double keep = std::exp(-elapsed / this->policy.window_s);
-    for (std::size_t cell = 0; cell < chosen.size(); ++cell) {
-        this->loads[cell] = this->loads[cell] * keep + chosen[cell];
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        for (std::size_t cell = 0; cell < this->loads.size(); ++cell) {
+            // A rank that has started anew counts from zero.
+            const std::uint64_t before = counts[i][cell] >= this->last_counts[i][cell] ? this->last_counts[i][cell] : 0;
+            this->loads[cell] += static_cast<double>(counts[i][cell] - before);
+        }
     }
-    return this->knows_loads();
 }
 
 bool map_coordinator::knows_loads() const {
-    return std::any_of(this->loads.begin(), this->loads.end(), [](double load) { return load > 0.0; });
+    const double sample = std::accumulate(this->loads.begin(), this->loads.end(), 0.0);
+    return sample >= config::least_sample_per_expert * static_cast<double>(this->loads.size());
 }
 
 void map_coordinator::observe_step_time(const std::vector<rank_state>& states) {
     const std::uint64_t step = states.front().step;
-    if (this->observed_at && step > this->observed_step) {
-        const std::chrono::duration<double, std::milli> elapsed = this->time.now() - *this->observed_at;
+    const steady_time now = this->time.now();
+    if (this->step_observed_at && step > this->observed_step) {
+        const std::chrono::duration<double, std::milli> elapsed = now - *this->step_observed_at;
         const double sample = elapsed.count() / static_cast<double>(step - this->observed_step);
         constexpr double gain = 0.4;
         this->step_ms += (this->step_ms > 0.0 ? gain : 1.0) * (sample - this->step_ms);
     }
+    this->step_observed_at = now;
     this->observed_step = step;
 }
 
--- a/src/ranks/map_coordinator.h
+++ b/src/ranks/map_coordinator.h
@@ -2,7 +2,6 @@
 
 #include "common/log.h"
 #include "common/metrics.h"
-#include "ranks/load_memory.h"
 #include "ranks/map_switcher.h"
 
 #include <pomelohoist/clock.h>
@@ -10,7 +9,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <string>
 #include <vector>
 
 /// Keeps the expert map of one group close to the demand.
@@ -40,31 +38,30 @@
 /// @attention used by one thread
 class map_coordinator {
   public:
-    map_coordinator(std::string group_name, rank_group& controlled, rank_sweep& calls, map_switcher& switches,
-                    load_memory& kept_loads, const expert_shape& group_shape, const map_policy& tunables,
-                    const clock& time_source, structured_log& process_log, metrics_registry& metrics);
+    map_coordinator(rank_group& controlled, rank_sweep& calls, map_switcher& switches, const expert_shape& group_shape,
+                    const map_policy& tunables, const clock& time_source, structured_log& process_log,
+                    metrics_registry& metrics);
 
     /// One round: read, settle, plan, switch.
     /// @returns false when another coordinator has taken over
     bool run_once();
+    /// @returns true until a group that has formed anew has had its first plan, or has had no work for some rounds;
+    /// rounds should follow each other quickly so long
+    [[nodiscard]] bool is_forming() const { return this->rounds_to_first_plan > 0; }
 
   private:
-    /// Takes the loads that an earlier coordinator of the group has left.
-    void recall_loads();
-    void save_loads_when_due();
-    /// @returns true when the loads are known
-    bool observe(const std::vector<rank_state>& states);
+    void observe_counts();
+    void add_chosen(const std::vector<std::vector<std::uint64_t>>& counts);
+    /// @returns true when enough was counted to plan by
     [[nodiscard]] bool knows_loads() const;
     void observe_step_time(const std::vector<rank_state>& states);
     /// Learns the map in force from the ranks, unless this process has switched to it.
     bool learn_slots(const std::vector<rank_state>& states);
     [[nodiscard]] std::optional<std::vector<std::uint32_t>> plan() const;
 
-    const std::string name; ///< of the group
     rank_group& group;
     rank_sweep& sweep;
     map_switcher& switcher;
-    load_memory& memory;
     expert_shape shape;
     map_policy policy;
     const clock& time;
@@ -73,10 +70,10 @@
     std::uint64_t epoch{0};
     std::vector<std::vector<std::uint64_t>> last_counts; ///< of each rank
     std::vector<double> loads;                           ///< expected tokens, in the order layer, expert
-    bool has_recalled{false};
-    std::optional<steady_time> save_after;
-    std::optional<steady_time> observed_at;
+    steady_time counted_at{};
+    std::optional<steady_time> step_observed_at; ///< in this epoch
     std::uint64_t observed_step{0};
+    std::uint32_t rounds_to_first_plan{0};
     double step_ms{0.0};                       ///< mean time of a step, while the group has work
     std::vector<std::uint32_t> slots_in_force; ///< empty while unknown
     std::uint64_t version_in_force{0};
--- a/src/ranks/rank_daemon.cpp
+++ b/src/ranks/rank_daemon.cpp
@@ -88,7 +88,6 @@
             return failure{error_kind::invalid_settings, "the address cannot be bound: " + error.displayText()};
         }
         this->store = this->platform.connect_store(this->values, this->context.log);
-        this->memory = this->platform.connect_load_memory(this->values);
         this->follower = std::make_unique<store_follower>(*this->store, own, false, *this->shared, *this->link,
                                                           this->context.time, this->context.log, this->context.metrics);
         this->link->start();
@@ -122,27 +121,35 @@
 
   private:
     void coordinate_loop() {
-        while (this->pause(static_cast<std::uint32_t>(config::map_interval.count()))) {
+        std::chrono::milliseconds wait = config::map_interval;
+        while (this->pause(static_cast<std::uint32_t>(wait.count()))) {
             const result<rank_state> own = this->engine->read_state();
-            if (!own || own->group.empty()) {
+            if (own && !own->group.empty()) {
+                this->note_rank(*own);
+                this->coordinate(*own);
+            } else {
                 this->context.log.info("engine_unreadable", {{"reason", own ? "no group" : own.last_error().reason}});
                 this->note_unreachable();
-                continue;
-            }
-            this->note_rank(*own);
-            const std::vector<group_peer> peers = this->link->group_peers(own->group);
-            const bool is_first = std::none_of(
-                peers.begin(), peers.end(), [&own](const auto& peer) { return peer.is_live && peer.rank < own->rank; });
-            if (!is_first) {
-                this->end_term();
-                continue;
-            }
-            if (!this->coordinator && !this->begin_term(*own, peers)) {
-                continue;
-            }
-            if (!this->coordinator->run_once()) {
-                this->end_term();
             }
+            // The entries should hear soon that the group serves again.
+            const bool is_forming = !own || !own->is_open || (this->coordinator && this->coordinator->is_forming());
+            wait = is_forming ? config::forming_map_interval : config::map_interval;
+        }
+    }
+
+    void coordinate(const rank_state& own) {
+        const std::vector<group_peer> peers = this->link->group_peers(own.group);
+        const bool is_first = std::none_of(peers.begin(), peers.end(),
+                                           [&own](const auto& peer) { return peer.is_live && peer.rank < own.rank; });
+        if (!is_first) {
+            this->end_term();
+            return;
+        }
+        if (!this->coordinator && !this->begin_term(own, peers)) {
+            return;
+        }
+        if (!this->coordinator->run_once()) {
+            this->end_term();
         }
     }
 
@@ -194,9 +201,9 @@
         this->switcher->take_over(*fence);
         map_policy policy;
         policy.max_new = this->max_new;
-        this->coordinator = std::make_unique<map_coordinator>(own.group, *this->group, this->sweep, *this->switcher,
-                                                              *this->memory, *shape, policy, this->context.time,
-                                                              this->context.log, this->context.metrics);
+        this->coordinator =
+            std::make_unique<map_coordinator>(*this->group, this->sweep, *this->switcher, *shape, policy,
+                                              this->context.time, this->context.log, this->context.metrics);
         this->context.log.info("coordination_begun", {{"group", own.group}, {"fence", std::to_string(*fence)}});
         this->note_rank(own);
         return true;
@@ -230,7 +237,6 @@
     std::unique_ptr<rank_server> server;
     std::unique_ptr<peer_link> link;
     std::unique_ptr<control_store> store;
-    std::unique_ptr<load_memory> memory;
     std::unique_ptr<store_follower> follower;
     std::optional<inner::rank_note> noted;
     std::uint32_t max_new{0};
--- a/src/ranks/rank_daemon.h
+++ b/src/ranks/rank_daemon.h
@@ -2,7 +2,6 @@
 
 #include "common/daemon.h"
 #include "direct/direct_daemon.h"
-#include "ranks/load_memory.h"
 #include "ranks/remote_rank.h"
 
 #include <cstdint>
@@ -19,7 +18,6 @@
     /// @returns the token, or `store_unavailable`
     virtual result<std::uint64_t> take_fence(const settings& checked, const std::string& group,
                                              const std::string& holder) = 0;
-    virtual std::unique_ptr<load_memory> connect_load_memory(const settings& checked) = 0;
 };
 
 class rank_daemon_factory : public daemon_factory {
--- a/tests/ranks/simulated_group.h
+++ b/tests/ranks/simulated_group.h
@@ -52,6 +52,7 @@
     std::uint64_t steps{0};
     std::uint64_t switches{0}; ///< steps at which the map changed
     std::uint64_t epochs{1};
+    bool is_open{true};         ///< otherwise the group forms, and begins no step
     std::vector<double> demand; ///< chance of each expert, in the order layer, expert
 
     [[nodiscard]] bool is_held() const;
