Revert "End a hold while its coordinator's host stands still"

The freeze strikes the machine whose process hands the order to the engine. With the hold by way of the process beside the rank that is the machine of the held rank itself, and then its engine is out of reach again.

--- a/src/ranks/map_coordinator.cpp
+++ b/src/ranks/map_coordinator.cpp
@@ -36,7 +36,6 @@
     // Also counted while the group does not serve: its first map then follows from the first steps.
     this->observe_counts();
     if (!states) {
-        this->switcher.release_unarmed_hold();
         this->step_observed_at.reset();
         this->rounds_to_first_plan = config::fast_map_rounds;
         return true;
--- a/src/ranks/map_switcher.cpp
+++ b/src/ranks/map_switcher.cpp
@@ -52,13 +52,11 @@
 
 } // namespace
 
-map_switcher::map_switcher(rank_group& controlled, rank_sweep& calls, pause_source& waits, hold_witness& own_witness,
-                           structured_log& process_log)
-    : group(controlled), sweep(calls), waiter(waits), witness(own_witness), log(process_log) {}
+map_switcher::map_switcher(rank_group& controlled, rank_sweep& calls, pause_source& waits, structured_log& process_log)
+    : group(controlled), sweep(calls), waiter(waits), log(process_log) {}
 
-void map_switcher::take_over(std::uint64_t fencing_token, std::uint32_t own) {
+void map_switcher::take_over(std::uint64_t fencing_token) {
     this->token = fencing_token;
-    this->own_rank = own;
     this->must_learn_steps = true;
     this->has_fenced = false;
     this->is_fenced_off = false;
@@ -146,10 +144,7 @@
 }
 
 order_outcome map_switcher::give(std::uint32_t rank, const rank_order& order) {
-    return this->note_fenced(rank, this->group.rank(rank).give(order));
-}
-
-order_outcome map_switcher::note_fenced(std::uint32_t rank, order_outcome outcome) {
+    const order_outcome outcome = this->group.rank(rank).give(order);
     if (outcome == order_outcome::fenced) {
         this->is_fenced_off = true;
         this->log.warn("rank_order_fenced", {{"rank", std::to_string(rank)}, {"fence", std::to_string(this->token)}});
@@ -196,10 +191,7 @@
         // Some rank may have got an order to arm that is not carried out yet, so the hold must not end without it.
         this->log.info("map_switch_resumed",
                        {{"version", std::to_string(prepared)}, {"step", std::to_string(held->step)}});
-        const armed_switch wanted{prepared, held->step};
-        if (this->arm_held_rank(epoch, wanted, held->rank) == outcome::switched) {
-            this->complete(epoch, wanted, *held);
-        }
+        this->complete(epoch, {prepared, held->step}, *held);
     } else {
         // Ranks are armed only after all were prepared, so nobody has ordered a switch at this step.
         this->log.info("stray_hold_released", {{"step", std::to_string(held->step)}});
@@ -224,15 +216,12 @@
         this->log.info("map_switch_not_begun", {{"version", std::to_string(version)}});
         return state;
     }
-    const std::optional<held_step> held = this->hold(epoch);
-    if (!held) {
+    const std::optional<std::uint64_t> step = this->hold(epoch);
+    if (!step) {
         this->log.info("map_switch_not_begun", {{"version", std::to_string(version)}, {"reason", "no step was held"}});
         return outcome::not_begun;
     }
-    state = this->arm_held_rank(epoch, {version, held->step}, held->rank);
-    if (state == outcome::switched) {
-        state = this->complete(epoch, {version, held->step}, *held);
-    }
+    state = this->complete(epoch, {version, *step}, {0, *step});
     if (state == outcome::switched) {
         this->last_switched = version;
     }
@@ -264,70 +253,27 @@
     return outcome::not_begun;
 }
 
-std::optional<held_step> map_switcher::hold(std::uint64_t epoch) {
-    const std::uint32_t size = this->group.size();
-    const std::uint32_t rank = (this->own_rank + this->held_after_own) % size;
+std::optional<std::uint64_t> map_switcher::hold(std::uint64_t epoch) {
     for (std::uint32_t attempt = 0; attempt < config::order_attempts; ++attempt) {
-        const result<rank_state> before = this->group.rank(rank).read_state();
+        const result<rank_state> before = this->group.rank(0).read_state();
         if (!before || before->epoch != epoch) {
-            break;
+            return std::nullopt;
         }
-        const std::uint64_t step = before->step + lead_of(size);
+        const std::uint64_t step = before->step + lead_of(this->group.size());
         this->name_step(step);
-        const rank_order order = this->order_of(rank_order_kind::hold, epoch, {0, step});
-        if (this->note_fenced(rank, this->group.rank(rank).give_witnessed(order)) == order_outcome::fenced) {
+        const order_outcome given = this->give(0, this->order_of(rank_order_kind::hold, epoch, {0, step}));
+        if (given == order_outcome::fenced) {
             return std::nullopt;
         }
-        const result<rank_state> after = this->group.rank(rank).read_state();
+        const result<rank_state> after = this->group.rank(0).read_state();
         if (after && after->epoch == epoch && after->held_step == step) {
-            return held_step{rank, step};
+            return step;
         }
         // Without an answer the hold may come later; it ends as a stray one then.
     }
-    // The process beside that rank may be away; the next switch tries another one.
-    this->held_after_own = this->held_after_own % std::max(size - 1, 1U) + 1;
     return std::nullopt;
 }
 
-map_switcher::outcome map_switcher::arm_held_rank(std::uint64_t epoch, const armed_switch& wanted, std::uint32_t rank) {
-    this->name_step(wanted.step);
-    const rank_order arm = this->order_of(rank_order_kind::arm, epoch, wanted);
-    while (true) {
-        this->note_fenced(rank, this->group.rank(rank).give_witnessed(arm));
-        if (this->is_fenced_off) {
-            return outcome::fenced;
-        }
-        const result<rank_state> state = this->group.rank(rank).read_state();
-        if (state && (state->epoch != epoch || state->held_step != wanted.step)) {
-            return outcome::lost; // another coordinator, which this one has not heard of yet, has ended the hold
-        }
-        if (state && state->armed == wanted) {
-            return outcome::switched;
-        }
-        if (!this->waiter.pause(config::arm_retry_ms)) {
-            return outcome::lost;
-        }
-    }
-}
-
-void map_switcher::release_unarmed_hold() {
-    rank_engine& own = this->group.rank(this->own_rank);
-    const result<rank_state> before = own.read_state();
-    if (!before || !before->is_open || !this->witness.is_unarmed(*before)) {
-        return;
-    }
-    // From here on the engine refuses what an earlier coordinator orders, so what was not seen by now never comes.
-    const order_outcome shown = this->give(this->own_rank, this->order_of(rank_order_kind::go, before->epoch, {0, 0}));
-    const result<rank_state> after = own.read_state();
-    if (shown == order_outcome::fenced || shown == order_outcome::unanswered || !after ||
-        after->epoch != before->epoch || !this->witness.is_unarmed(*after)) {
-        return;
-    }
-    this->witness.abandon(after->epoch, *after->held_step);
-    this->log.info("unarmed_hold_released", {{"step", std::to_string(*after->held_step)}});
-    this->give(this->own_rank, this->order_of(rank_order_kind::go, after->epoch, {0, *after->held_step}));
-}
-
 map_switcher::outcome map_switcher::complete(std::uint64_t epoch, const armed_switch& wanted, const held_step& hold) {
     this->name_step(wanted.step);
     const rank_order arm = this->order_of(rank_order_kind::arm, epoch, wanted);
--- a/src/ranks/map_switcher.h
+++ b/src/ranks/map_switcher.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "common/log.h"
-#include "ranks/hold_witness.h"
 #include "ranks/rank_engine.h"
 #include "ranks/rank_sweep.h"
 
@@ -24,10 +23,10 @@
     friend bool operator==(const held_step&, const held_step&) = default;
 };
 
-/// The sequence: prepare all ranks; hold a step that is still ahead at a rank of another host; arm that rank, then all
-/// others, for that step; end the hold only after every rank has reported that it is armed. An order without an answer
-/// may be carried out seconds later, so every order is repeated until the rank's own report shows its effect, and a
-/// switch of which a rank may be armed is only ever completed, never taken back.
+/// The sequence: prepare all ranks; hold a step that is still ahead at one rank; arm all ranks for that step; end the
+/// hold only after every rank has reported that it is armed. An order without an answer may be carried out seconds
+/// later, so every order is repeated until the rank's own report shows its effect, and a switch of which a rank may be
+/// armed is only ever completed, never taken back.
 ///
 /// A coordinator that takes over first shows its fencing token to every rank, so that an earlier one, which may only
 /// have stood still, can give no further orders. Versions contain the token: two coordinators never use one for two
@@ -47,13 +46,10 @@
         count
     };
 
-    /// @param own_witness of the orders to the rank beside this process
-    map_switcher(rank_group& controlled, rank_sweep& calls, pause_source& waits, hold_witness& own_witness,
-                 structured_log& process_log);
+    map_switcher(rank_group& controlled, rank_sweep& calls, pause_source& waits, structured_log& process_log);
 
     /// Must be called when this process takes over a group, with the fencing token that it got.
-    /// @param own rank beside this process
-    void take_over(std::uint64_t fencing_token, std::uint32_t own);
+    void take_over(std::uint64_t fencing_token);
     /// Reads all ranks.
     /// @returns the states in the order of the ranks, or nothing when one does not answer, is not open, or is in
     /// another epoch
@@ -61,8 +57,6 @@
     /// Completes or ends what an earlier coordinator has left behind.
     /// @returns false when the group is not free for a new switch
     bool settle(const std::vector<rank_state>& seen);
-    /// Ends a hold at the own rank for which no rank can be armed, also while other ranks cannot be read.
-    void release_unarmed_hold();
     /// @param slots experts in the order layer, rank, slot
     outcome switch_to(const std::vector<rank_state>& states, const expert_shape& shape,
                       const std::vector<std::uint32_t>& slots);
@@ -80,15 +74,11 @@
     [[nodiscard]] bool is_past_named_steps(const std::vector<rank_state>& states) const;
     outcome prepare_all(const rank_order& order);
     outcome wait_prepared(std::uint64_t epoch, std::uint64_t version);
-    std::optional<held_step> hold(std::uint64_t epoch);
-    /// Arms the rank that holds the step, so that the process beside it knows of the arming.
-    outcome arm_held_rank(std::uint64_t epoch, const armed_switch& wanted, std::uint32_t rank);
+    std::optional<std::uint64_t> hold(std::uint64_t epoch);
     /// Arms all ranks and ends the hold.
-    /// @attention some rank may be armed already only if the process beside the rank that holds the step knows of it
     outcome complete(std::uint64_t epoch, const armed_switch& wanted, const held_step& hold);
     outcome release(std::uint64_t epoch, const held_step& hold);
     order_outcome give(std::uint32_t rank, const rank_order& order);
-    order_outcome note_fenced(std::uint32_t rank, order_outcome outcome);
     /// Gives an order to all ranks, to each one until it answers, a few times at most.
     std::vector<order_outcome> give_all(const rank_order& order);
     rank_order order_of(rank_order_kind kind, std::uint64_t epoch, const armed_switch& wanted) const;
@@ -99,11 +89,8 @@
     rank_group& group;
     rank_sweep& sweep;
     pause_source& waiter;
-    hold_witness& witness;
     structured_log& log;
     std::uint64_t token{0};
-    std::uint32_t own_rank{0};
-    std::uint32_t held_after_own{1}; ///< distance from the own rank to the one that holds steps
     std::uint64_t seen_epoch{0};
     std::atomic<bool> is_fenced_off{false};
     bool has_fenced{false}; ///< all ranks have seen the token in this epoch
--- a/src/ranks/rank_daemon.cpp
+++ b/src/ranks/rank_daemon.cpp
@@ -2,7 +2,6 @@
 
 #include "direct/peer_link.h"
 #include "direct/store_follower.h"
-#include "ranks/hold_witness.h"
 #include "ranks/map_coordinator.h"
 
 #include <pomelohoist/config.h>
@@ -37,17 +36,10 @@
     }
     order_outcome give(const rank_order& order) override {
         const std::lock_guard lock{this->mutex};
-        if (this->seen.refuses(order)) {
-            return order_outcome::refused;
-        }
-        this->seen.note(order);
         return this->engine->give(order);
     }
-    order_outcome give_witnessed(const rank_order& order) override { return this->give(order); }
-    [[nodiscard]] hold_witness& witness() { return this->seen; }
 
   private:
-    hold_witness seen; ///< of all orders that pass here, this process's own included
     std::mutex mutex;
     std::unique_ptr<rank_engine> engine;
 };
@@ -205,9 +197,8 @@
             }
         }
         this->group = std::move(ranks);
-        this->switcher = std::make_unique<map_switcher>(*this->group, this->sweep, *this, this->engine->witness(),
-                                                        this->context.log);
-        this->switcher->take_over(*fence, own.rank);
+        this->switcher = std::make_unique<map_switcher>(*this->group, this->sweep, *this, this->context.log);
+        this->switcher->take_over(*fence);
         map_policy policy;
         policy.max_new = this->max_new;
         this->coordinator =
--- a/src/ranks/rank_engine.h
+++ b/src/ranks/rank_engine.h
@@ -95,8 +95,6 @@
     virtual result<std::vector<std::uint64_t>> read_counts() = 0;
     virtual result<rank_experts> read_experts() = 0;
     virtual order_outcome give(const rank_order& order) = 0;
-    /// Gives an order by way of the process beside the rank, which remembers it, and in no other way.
-    virtual order_outcome give_witnessed(const rank_order& order) = 0;
 };
 
 /// The ranks of one group, as its coordinator reaches them.
--- a/src/ranks/remote_rank.cpp
+++ b/src/ranks/remote_rank.cpp
@@ -92,12 +92,6 @@
     return *report->experts;
 }
 
-order_outcome remote_rank::give_witnessed(const rank_order& order) {
-    const result<inner::rank_order_reply> reply = call_stream<inner::rank_order_reply>(
-        this->address, this->name, inner::rank_order_request{order}, config::rank_call_timeout);
-    return reply ? reply->outcome : order_outcome::unanswered;
-}
-
 order_outcome remote_rank::give(const rank_order& order) {
     if (!this->is_passed_over()) {
         const result<inner::rank_order_reply> reply = call_stream<inner::rank_order_reply>(
--- a/src/ranks/remote_rank.h
+++ b/src/ranks/remote_rank.h
@@ -44,7 +44,6 @@
     result<std::vector<std::uint64_t>> read_counts() override;
     result<rank_experts> read_experts() override;
     order_outcome give(const rank_order& order) override;
-    order_outcome give_witnessed(const rank_order& order) override;
 
   private:
     /// @returns true while the process beside the rank is passed over
