--- a/src/direct/endpoint_choice.h
+++ b/src/direct/endpoint_choice.h
@@ -17,9 +17,9 @@
     std::uint32_t active{0}; ///< requests of all entries
     std::uint32_t slots{1};  ///< requests that it processes at once
     std::uint32_t places{1}; ///< requests that it may hold, the waiting ones included
-    bool is_avoided{false};  ///< has failed a short time ago, or its group is silent
+    bool is_avoided{false};  ///< has failed a short time ago, or its group makes no progress
     bool was_tried{false};   ///< by this request
-    bool is_closed{false};   ///< its group does not serve, or makes no progress
+    bool is_closed{false};   ///< its group does not serve at the moment
 
     friend bool operator==(const endpoint_candidate&, const endpoint_candidate&) = default;
 };
--- a/src/direct/place_queue.cpp
+++ b/src/direct/place_queue.cpp
@@ -48,25 +48,9 @@
                            is_avoided, was_tried, is_rank && engine->is_closed},
                           group});
     }
-    close_stalled(listed);
     return listed;
 }
 
-void place_queue::close_stalled(std::vector<listed_endpoint>& listed) const {
-    const auto is_stalled = [this](const listed_endpoint& endpoint) {
-        return !endpoint.group.empty() && this->detector.is_stalled(endpoint.group);
-    };
-    const bool has_other = std::any_of(listed.begin(), listed.end(), [&is_stalled](const listed_endpoint& endpoint) {
-        return !endpoint.candidate.is_closed && !is_stalled(endpoint);
-    });
-    if (!has_other) {
-        return; // waiting at a group that stands still is all that there is to do
-    }
-    for (listed_endpoint& endpoint : listed) {
-        endpoint.candidate.is_closed = endpoint.candidate.is_closed || is_stalled(endpoint);
-    }
-}
-
 bool place_queue::has_place_beyond(const std::string& service, const std::string& group) const {
     place_request wanted;
     wanted.service = service;
--- a/src/direct/place_queue.h
+++ b/src/direct/place_queue.h
@@ -105,8 +105,6 @@
         queue_patience patience;
     };
 
-    /// Leaves out the groups that stand still, where another one serves: a place there is none.
-    void close_stalled(std::vector<listed_endpoint>& listed) const;
     place_result try_place(const place_request& request);
 
     shared_view& shared;
--- a/src/direct/stall_detector.cpp
+++ b/src/direct/stall_detector.cpp
@@ -30,32 +30,29 @@
 void stall_detector::end(const std::string& group) {
     const std::lock_guard lock{this->mutex};
     progress& known = this->groups[group];
-    const bool was_stalled = this->is_quiet_for(known, config::group_stall_limit);
+    const bool was_silent = this->is_quiet_for(known, config::group_silence_limit);
     --known.under_way;
-    if (known.under_way == 0 && was_stalled) {
+    if (known.under_way == 0 && was_silent) {
         known.is_suspect = true;
         known.suspect_until = this->time.now() + config::group_suspect_time;
     }
 }
 
-bool stall_detector::is_quiet(const std::string& group, steady_time::duration limit) const {
+bool stall_detector::is_silent(const std::string& group) const {
+    const std::lock_guard lock{this->mutex};
     const auto found = this->groups.find(group);
     if (found == this->groups.end()) {
         return false;
     }
     const progress& known = found->second;
     return known.under_way == 0 ? known.is_suspect && this->time.now() < known.suspect_until
-                                : this->is_quiet_for(known, limit);
-}
-
-bool stall_detector::is_silent(const std::string& group) const {
-    const std::lock_guard lock{this->mutex};
-    return this->is_quiet(group, config::group_silence_limit);
+                                : this->is_quiet_for(known, config::group_silence_limit);
 }
 
 bool stall_detector::is_stalled(const std::string& group) const {
     const std::lock_guard lock{this->mutex};
-    return this->is_quiet(group, config::group_stall_limit);
+    const auto found = this->groups.find(group);
+    return found != this->groups.end() && this->is_quiet_for(found->second, config::group_stall_limit);
 }
 
 watched_stream::watched_stream(stall_detector& groups, std::string group_name)
--- a/src/direct/stall_detector.h
+++ b/src/direct/stall_detector.h
@@ -21,24 +21,20 @@
     void begin(const std::string& group);
     void note_event(const std::string& group);
     void end(const std::string& group);
-    /// @returns true when streams of this process are under way there and none has had an event for a while; another
-    /// group is the better choice
+    /// @returns true when streams of this process are under way there and none has had an event for a while. After they
+    /// have left, true for some time more; then one request at a time finds out whether the group goes on.
     [[nodiscard]] bool is_silent(const std::string& group) const;
-    /// @returns true when the group has been silent so long that nothing should be sent there, and its streams should
-    /// go on elsewhere. After they have left, true for some time more; then one request at a time finds out whether the
-    /// group goes on.
+    /// @returns true when the group has been silent so long that its streams should go on elsewhere
     [[nodiscard]] bool is_stalled(const std::string& group) const;
 
   private:
     struct progress {
         std::uint32_t under_way{0};
         steady_time last_event{};    ///< or the begin of the first stream, when none was under way before
-        bool is_suspect{false};      ///< was stalled when its last stream ended
+        bool is_suspect{false};      ///< was silent when its last stream ended
         steady_time suspect_until{}; ///< nothing is sent there before
     };
 
-    /// With the mutex held.
-    [[nodiscard]] bool is_quiet(const std::string& group, steady_time::duration limit) const;
     [[nodiscard]] bool is_quiet_for(const progress& known, steady_time::duration limit) const;
 
     const clock& time;
--- a/tests/direct/decision_test.cpp
+++ b/tests/direct/decision_test.cpp
@@ -258,13 +258,13 @@
     EXPECT_TRUE(detector.is_stalled("g"));
     detector.end("g");
     detector.end("g");
-    EXPECT_TRUE(detector.is_stalled("g"));
+    EXPECT_TRUE(detector.is_silent("g"));
     time.advance(1100ms);
-    EXPECT_FALSE(detector.is_stalled("g")); // one request may find out
+    EXPECT_FALSE(detector.is_silent("g")); // one request may find out
     detector.begin("g");
-    EXPECT_TRUE(detector.is_stalled("g"));
+    EXPECT_TRUE(detector.is_silent("g"));
     detector.note_event("g");
-    EXPECT_FALSE(detector.is_stalled("g"));
+    EXPECT_FALSE(detector.is_silent("g"));
     detector.end("g");
     EXPECT_FALSE(detector.is_silent("g"));
 }
--- a/tests/direct/forwarding_test.cpp
+++ b/tests/direct/forwarding_test.cpp
@@ -1,7 +1,5 @@
 #include "direct_fixture.h"
 
-#include <pomelohoist/config.h>
-
 #include <gmock/gmock.h>
 
 #include <atomic>
@@ -220,24 +218,6 @@
     EXPECT_LE(frozen.requests().size() + beside_it.requests().size(), 1U);
 }
 
-// Guards against streams that are sent to a group that stands still because the other one is full.
-TEST(forwarding_test, a_full_group_sends_nobody_to_one_that_makes_no_progress) {
-    scripted_endpoint frozen{[](const std::string&, std::size_t) {
-        return scripted_answer{"", {}, false, false, true};
-    }};
-    scripted_endpoint full{good};
-    direct_entry entry{{frozen.address(), full.address()}};
-    entry.ranks.listed = {{frozen.address(), "g0", false}, {full.address(), "g1", false}};
-    for (int i = 0; i < 20; ++i) {
-        entry.board.begin(digest_of_instance("i-1"));
-    }
-    const watched_stream earlier{entry.stalls, "g0"};
-    std::this_thread::sleep_for(config::group_stall_limit + std::chrono::milliseconds{50});
-    const http_answer answer = entry.call("POST", "/stream/x", "p");
-    EXPECT_EQ(answer.status, 429);
-    EXPECT_EQ(frozen.requests().size(), 0U);
-}
-
 // Guards against a stream that is broken off although no other group could go on with it.
 TEST(forwarding_test, a_stream_stays_where_no_other_group_serves) {
     scripted_endpoint late{[](const std::string& request, std::size_t) {
