--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -158,8 +158,6 @@
 // Within the usual goals: 100 ms for plain answers, 400 ms for the first event.
 inline constexpr std::chrono::milliseconds longest_wait{150};
 inline constexpr std::chrono::milliseconds longest_stream_wait{1000};
-inline constexpr std::chrono::milliseconds standing_line_time{500}; // places come free every 20 ms under full load
-inline constexpr double standing_wait_part = 0.5; // of the goal; the endpoint needs the rest for its first event
 // A group is back some 0.6 s after its last rank; callers give a stream up after 2 s without an event.
 inline constexpr std::chrono::milliseconds longest_reopen_wait{1200};
 inline constexpr std::uint32_t max_refusals = 2;
--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -80,7 +80,7 @@
                                this->is_stream(),
                                this->request.importance,
                                this->outcome.endpoints,
-                               {std::min(now + longest, this->request.deadline), now + this->standing_wait()},
+                               std::min(now + longest, this->request.deadline),
                                std::min(now + config::longest_reopen_wait, this->request.deadline)};
     place_result placed = this->parts.places.acquire(wanted, this->caller);
     if (placed.outcome == place_outcome::placed) {
@@ -98,11 +98,6 @@
                : failure{error_kind::no_endpoint, "no endpoint of the service can be used"};
 }
 
-std::chrono::milliseconds direct_forwarder::standing_wait() const {
-    const double wait_ms = config::standing_wait_part * this->request.way->goal_ms;
-    return std::chrono::milliseconds{static_cast<std::int64_t>(wait_ms)};
-}
-
 direct_forwarder::attempt_end direct_forwarder::attempt() {
     this->outcome.endpoints.push_back(this->place->endpoint.instance);
     const attempt_end end = this->exchange();
--- a/src/direct/direct_forwarder.h
+++ b/src/direct/direct_forwarder.h
@@ -15,7 +15,6 @@
 #include <pomelohoist/clock.h>
 #include <pomelohoist/error.h>
 
-#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -89,7 +88,6 @@
     [[nodiscard]] bool may_repeat(attempt_end end);
     [[nodiscard]] bool is_stream() const { return this->request.way->repeat == repeat_rule::stream; }
     [[nodiscard]] steady_time answer_limit() const;
-    [[nodiscard]] std::chrono::milliseconds standing_wait() const;
     attempt_end judge(exchange_state state, const char* what);
     void finish(attempt_end end);
     void refuse(const failure& reason);
--- a/src/direct/place_queue.cpp
+++ b/src/direct/place_queue.cpp
@@ -85,22 +85,19 @@
 
 place_result place_queue::acquire(const place_request& request, caller_watchpoint& caller) {
     std::unique_lock lock{this->mutex};
-    waiting_line& line = this->lines[request.service];
+    std::set<waiting_key>& line = this->waiting_by_service[request.service];
     const waiting_key own{request.importance, this->next_number++};
-    line.keys.insert(own);
-    line.patience.note_waiting(line.keys.size(), this->time.now());
+    line.insert(own);
     place_result placed;
     while (true) {
-        if (*line.keys.begin() == own) {
+        if (*line.begin() == own) {
             placed = this->try_place(request);
             if (placed.outcome != place_outcome::full && placed.outcome != place_outcome::closed) {
                 break;
             }
         }
         // A group that forms anew is back soon, and until then no other place can come free.
-        const steady_time until = placed.outcome == place_outcome::closed
-                                      ? request.until_open
-                                      : line.patience.give_up_at(request.until, this->time.now());
+        const steady_time until = placed.outcome == place_outcome::closed ? request.until_open : request.until;
         if (this->time.now() >= until) {
             placed.outcome = placed.outcome == place_outcome::closed ? place_outcome::closed : place_outcome::full;
             break;
@@ -112,8 +109,7 @@
         const steady_time next_look = this->time.now() + config::place_poll_interval;
         this->freed.wait_until(lock, std::min(until, next_look));
     }
-    line.keys.erase(own);
-    line.patience.note_waiting(line.keys.size(), this->time.now());
+    line.erase(own);
     this->freed.notify_all();
     return placed;
 }
@@ -125,8 +121,8 @@
 std::size_t place_queue::waiting() const {
     const std::lock_guard lock{this->mutex};
     std::size_t sum = 0;
-    for (const auto& [service, line] : this->lines) {
-        sum += line.keys.size();
+    for (const auto& [service, line] : this->waiting_by_service) {
+        sum += line.size();
     }
     return sum;
 }
--- a/src/direct/place_queue.h
+++ b/src/direct/place_queue.h
@@ -7,7 +7,6 @@
 #include "direct/engine_directory.h"
 #include "direct/load_board.h"
 #include "direct/peer_link.h"
-#include "direct/queue_patience.h"
 #include "direct/shared_view.h"
 #include "direct/stall_detector.h"
 
@@ -49,7 +48,7 @@
     bool is_stream{false};
     std::uint32_t importance{0};    ///< 0 is the most important
     std::vector<std::string> tried; ///< instances that this request was sent to before
-    wait_limits until;              ///< longest wait for a place
+    steady_time until;              ///< longest wait for a place
     steady_time until_open;         ///< longest wait while no endpoint of the service serves
 
     friend bool operator==(const place_request&, const place_request&) = default;
@@ -100,11 +99,6 @@
     };
 
     [[nodiscard]] std::vector<listed_endpoint> list_endpoints(const view& seen, const place_request& request) const;
-    struct waiting_line {
-        std::set<waiting_key> keys;
-        queue_patience patience;
-    };
-
     place_result try_place(const place_request& request);
 
     shared_view& shared;
@@ -117,7 +111,7 @@
     const clock& time;
     mutable std::mutex mutex;
     std::condition_variable freed;
-    std::map<std::string, waiting_line> lines; ///< of the services
+    std::map<std::string, std::set<waiting_key>> waiting_by_service;
     std::uint64_t next_number{0};
 };
 
