Revert "Send streams past a group that makes no progress"

Conclusion: half of the capacity is missing for four seconds, and moving its load does not bring it back. The hold has to end sooner.

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -139,13 +139,6 @@
 inline constexpr std::chrono::milliseconds endpoint_avoid_time{1500}; // a stall of a group lasts as long
 inline constexpr std::chrono::milliseconds endpoint_avoid_limit{6000};
 inline constexpr std::chrono::milliseconds endpoint_refusal_time{300};
-// A group under load has an event every 50 to 120 ms; a single stream waits up to 400 ms for its first one.
-inline constexpr std::chrono::milliseconds group_silence_limit{450};
-inline constexpr std::chrono::milliseconds group_stall_limit{800}; // a successor ends a hold in about that time
-inline constexpr std::chrono::milliseconds group_suspect_time{1000};
-inline constexpr std::chrono::milliseconds stall_check_interval{100};
-// Time to find another group's place, to read the prompt there and to make events.
-inline constexpr std::chrono::milliseconds least_time_to_move{500};
 inline constexpr std::chrono::milliseconds idle_connection_margin{700}; // before the endpoint closes it
 inline constexpr std::chrono::milliseconds idle_connection_default{1500};
 inline constexpr std::size_t max_idle_connections = 4; // of one endpoint
--- a/src/direct/direct_daemon.cpp
+++ b/src/direct/direct_daemon.cpp
@@ -30,9 +30,9 @@
           board(context.time), store(platform.connect_store(checked, context.log)),
           link({own, true, platform.seeds(checked)}, shared, board, nullptr, context.time, context.log),
           follower(*store, own, true, shared, link, context.time, context.log, context.metrics),
-          avoidance(context.time), stalls(context.time), budget(read_retry_limits(checked), context.time),
-          connections(context.time), places(shared, board, link, link, stalls, avoidance, context.random, context.time),
-          forwarding{platform.headers(), places,       connections, avoidance,      stalls, budget, board,
+          avoidance(context.time), budget(read_retry_limits(checked), context.time), connections(context.time),
+          places(shared, board, link, avoidance, context.random, context.time),
+          forwarding{platform.headers(), places,       connections, avoidance,      budget, board,
                      context.random,     context.time, context.log, context.metrics},
           service(forwarding, shared), front(checked.address("http.address"), service, shared, context.time) {}
 
@@ -43,7 +43,6 @@
     peer_link link;
     store_follower follower;
     endpoint_avoidance avoidance;
-    stall_detector stalls;
     shared_retry_budget budget;
     connection_pool connections;
     place_queue places;
--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -108,9 +108,8 @@
     } else if (end == attempt_end::refused) {
         this->parts.avoidance.note_refusal(this->place->digest);
     }
-    this->outcome.may_have_run = this->outcome.may_have_run || end == attempt_end::failed ||
-                                 end == attempt_end::endpoint_failed || end == attempt_end::moved;
-    this->watched.reset();
+    this->outcome.may_have_run =
+        this->outcome.may_have_run || end == attempt_end::failed || end == attempt_end::endpoint_failed;
     this->connection.reset();
     this->place.reset();
     return end;
@@ -152,9 +151,6 @@
         this->outcome.reason = "the connection was lost while sending";
         return attempt_end::failed;
     }
-    if (this->is_stream() && !this->place->group.empty()) {
-        this->watched = std::make_unique<watched_stream>(this->parts.stalls, this->place->group);
-    }
     const steady_time until = this->answer_limit();
     endpoint_answer answer;
     const attempt_end read = this->read_answer_head(answer, until);
@@ -178,37 +174,7 @@
     return now + (this->request.deadline - now) / 2;
 }
 
-bool direct_forwarder::should_move() {
-    const bool can_move =
-        this->watched && this->request.way->is_idempotent() &&
-        this->sends<this->request.way->max_endpoints&& this->request.deadline - this->parts.time.now()>
-            config::least_time_to_move;
-    return can_move && this->parts.stalls.is_stalled(this->place->group) &&
-           this->parts.places.has_place_beyond(this->request.service, this->place->group) &&
-           this->parts.budget.try_spend(this->request.service, this->parts.board.entries());
-}
-
-exchange_state direct_forwarder::read_watchfully(steady_time until,
-                                                 const std::function<exchange_state(steady_time)>& read) {
-    while (true) {
-        const steady_time look =
-            this->watched ? std::min(until, this->parts.time.now() + config::stall_check_interval) : until;
-        const exchange_state state = read(look);
-        if (state != exchange_state::timed_out || this->parts.time.now() >= until) {
-            return state;
-        }
-        this->is_moving = this->should_move();
-        if (this->is_moving) {
-            return state;
-        }
-    }
-}
-
 direct_forwarder::attempt_end direct_forwarder::judge(exchange_state state, const char* what) {
-    if (std::exchange(this->is_moving, false)) {
-        this->outcome.reason = "the endpoint's group made no progress";
-        return attempt_end::moved;
-    }
     switch (state) {
     case exchange_state::ready:
     case exchange_state::complete:
@@ -231,10 +197,8 @@
     const bool is_head = this->request.raw.method == "HEAD";
     constexpr int max_stray_answers = 3;
     for (int stray = 0; stray < max_stray_answers; ++stray) {
-        const exchange_state head_state = this->read_watchfully(until, [this, is_head, &answer](steady_time look) {
-            return this->connection->read_head(is_head, look, this->caller, answer);
-        });
-        const attempt_end end = this->judge(head_state, "before the head");
+        const attempt_end end =
+            this->judge(this->connection->read_head(is_head, until, this->caller, answer), "before the head");
         if (end != attempt_end::answered) {
             return end;
         }
@@ -301,7 +265,6 @@
         this->sink.begin_stream(answer.status, end_to_end(answer));
     }
     this->outcome.events = this->events.passed();
-    this->parts.stalls.note_event(this->place->group);
     return this->sink.send_piece(bytes);
 }
 
@@ -313,9 +276,7 @@
     this->events.drop_rest();
     while (true) {
         std::string piece;
-        const exchange_state state = this->read_watchfully(this->request.deadline, [this, &piece](steady_time look) {
-            return this->connection->read_body(piece, look, this->caller);
-        });
+        const exchange_state state = this->connection->read_body(piece, this->request.deadline, this->caller);
         const std::optional<std::string> whole = this->events.take(piece);
         if (!whole) {
             this->outcome.reason = "an event came out of order";
@@ -365,8 +326,6 @@
             return false;
         }
         break;
-    case attempt_end::moved:
-        return true;
     case attempt_end::failed:
     case attempt_end::endpoint_failed:
         if (!way.is_idempotent()) {
--- a/src/direct/direct_forwarder.h
+++ b/src/direct/direct_forwarder.h
@@ -9,14 +9,12 @@
 #include "direct/event_tracker.h"
 #include "direct/place_queue.h"
 #include "direct/shared_retry_budget.h"
-#include "direct/stall_detector.h"
 #include "entry/answer_sink.h"
 
 #include <pomelohoist/clock.h>
 #include <pomelohoist/error.h>
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,7 +29,6 @@
     place_queue& places;
     connection_pool& connections;
     endpoint_avoidance& avoidance;
-    stall_detector& stalls;
     shared_retry_budget& budget;
     load_board& board;
     random_source& random;
@@ -67,7 +64,6 @@
         unreached,       ///< nothing was sent
         failed,          ///< it may have run
         endpoint_failed, ///< it ran, and the endpoint answered with an error
-        moved,           ///< given up for another group; the repeat is paid for
         caller_gone,
         out_of_time,
         count
@@ -80,10 +76,6 @@
     attempt_end take_whole(const endpoint_answer& answer, steady_time until);
     attempt_end take_stream(const endpoint_answer& answer);
     attempt_end end_stream();
-    /// Reads until `until`, and looks up now and then whether the stream should go on at another group.
-    exchange_state read_watchfully(steady_time until, const std::function<exchange_state(steady_time)>& read);
-    /// @returns true when the group makes no progress and another one can go on; the repeat is then paid for
-    [[nodiscard]] bool should_move();
     bool pass_events(const endpoint_answer& answer, const std::string& events);
     [[nodiscard]] bool may_repeat(attempt_end end);
     [[nodiscard]] bool is_stream() const { return this->request.way->repeat == repeat_rule::stream; }
@@ -102,11 +94,9 @@
     forwarding_outcome outcome;
     std::unique_ptr<endpoint_place> place;
     std::unique_ptr<endpoint_connection> connection;
-    std::unique_ptr<watched_stream> watched;
     std::optional<whole_answer> endpoint_failure; ///< an endpoint's own error, passed on when no repeat follows
     std::uint32_t sends{0};                       ///< after which the request may have run
     std::uint32_t refusals{0};                    ///< by endpoints that did not run it
-    bool is_moving{false};                        ///< this send is given up for another group
     bool has_begun{false};                        ///< the head of a stream was sent to the caller
 };
 
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -13,12 +13,12 @@
     return static_cast<double>(candidate.active) / std::max(candidate.slots, 1U);
 }
 
-} // namespace
-
 bool has_place(const endpoint_candidate& candidate) {
     return !candidate.was_tried && !candidate.is_closed && candidate.active < candidate.places;
 }
 
+} // namespace
+
 std::uint32_t places_of(std::uint32_t slots, bool is_stream) {
     return is_stream ? slots + std::max(slots / stream_slots_for_each_waiting, 1U) : slots * 2;
 }
--- a/src/direct/endpoint_choice.h
+++ b/src/direct/endpoint_choice.h
@@ -17,7 +17,7 @@
     std::uint32_t active{0}; ///< requests of all entries
     std::uint32_t slots{1};  ///< requests that it processes at once
     std::uint32_t places{1}; ///< requests that it may hold, the waiting ones included
-    bool is_avoided{false};  ///< has failed a short time ago, or its group makes no progress
+    bool is_avoided{false};  ///< has failed a short time ago
     bool was_tried{false};   ///< by this request
     bool is_closed{false};   ///< its group does not serve at the moment
 
@@ -36,9 +36,6 @@
 /// place at the same moment to one endpoint. An endpoint that has failed is used only when no other has a place.
 endpoint_choice choose_endpoint(const std::vector<endpoint_candidate>& candidates, random_source& random);
 
-/// @returns true when the endpoint may get the request
-bool has_place(const endpoint_candidate& candidate);
-
 /// @param slots requests that an endpoint processes at once
 /// @param is_stream streams hold a place for seconds, so that waiting behind one costs the caller's goal
 /// @returns requests that it may hold
--- a/src/direct/peer_link.cpp
+++ b/src/direct/peer_link.cpp
@@ -130,16 +130,15 @@
     this->send_to(this->make_news(), this->targets(audience::live_entries));
 }
 
-std::vector<known_engine> peer_link::engines() const {
+std::vector<net_address> peer_link::closed_engines() const {
     const std::lock_guard lock{this->mutex};
-    std::vector<known_engine> found;
+    std::vector<net_address> closed;
     for (const auto& [name, known] : this->peers) {
-        if (known.beside) {
-            found.push_back(
-                {known.beside->engine, known.beside->group, !known.beside->is_open && this->is_live(known)});
+        if (known.beside && !known.beside->is_open && this->is_live(known)) {
+            closed.push_back(known.beside->engine);
         }
     }
-    return found;
+    return closed;
 }
 
 std::uint32_t peer_link::rank_among_live() const {
--- a/src/direct/peer_link.h
+++ b/src/direct/peer_link.h
@@ -3,7 +3,6 @@
 #include "common/log.h"
 #include "direct/control_store.h"
 #include "direct/direct_messages.h"
-#include "direct/engine_directory.h"
 #include "direct/load_board.h"
 #include "direct/shared_view.h"
 #include "inner/stream_server.h"
@@ -47,7 +46,7 @@
 
 /// Tells all known processes what is in force here, and pulls what is newer elsewhere. Each process therefore hears of
 /// a change that any of them has read from the store, also while the store refuses this one.
-class peer_link : public inner::stream_handler, public engine_directory {
+class peer_link : public inner::stream_handler {
   public:
     /// Binds the sockets.
     /// @attention throws Poco::Net::NetException when the address cannot be bound
@@ -72,8 +71,8 @@
     /// @returns the processes beside the ranks of the group, this one not included; of two for one rank the one that
     /// was heard of last
     [[nodiscard]] std::vector<group_peer> group_peers(const std::string& group) const;
-    /// @returns the engines that processes run beside; the group of a silent process is still known
-    [[nodiscard]] std::vector<known_engine> engines() const override;
+    /// @returns engines whose group does not serve, as the live processes beside them say
+    [[nodiscard]] std::vector<net_address> closed_engines() const;
     /// @returns how many live processes have a smaller name than this one; the first ones read the store
     [[nodiscard]] std::uint32_t rank_among_live() const;
 
--- a/src/direct/place_queue.cpp
+++ b/src/direct/place_queue.cpp
@@ -7,9 +7,8 @@
 
 namespace pomelohoist {
 
-endpoint_place::endpoint_place(endpoint_record chosen, std::string group_name, load_board& loads, peer_link& link)
-    : endpoint(std::move(chosen)), digest(digest_of_instance(this->endpoint.instance)), group(std::move(group_name)),
-      board(loads), peers(link) {
+endpoint_place::endpoint_place(endpoint_record chosen, load_board& loads, peer_link& link)
+    : endpoint(std::move(chosen)), digest(digest_of_instance(this->endpoint.instance)), board(loads), peers(link) {
     this->board.begin(this->digest);
     this->peers.announce_load();
 }
@@ -19,16 +18,14 @@
     this->peers.announce_load();
 }
 
-place_queue::place_queue(shared_view& in_force, load_board& loads, peer_link& link, const engine_directory& ranks,
-                         const stall_detector& stalls, endpoint_avoidance& avoided, random_source& randomness,
-                         const clock& time_source)
-    : shared(in_force), board(loads), peers(link), directory(ranks), detector(stalls), avoidance(avoided),
-      random(randomness), time(time_source) {}
+place_queue::place_queue(shared_view& in_force, load_board& loads, peer_link& link, endpoint_avoidance& avoided,
+                         random_source& randomness, const clock& time_source)
+    : shared(in_force), board(loads), peers(link), avoidance(avoided), random(randomness), time(time_source) {}
 
-std::vector<place_queue::listed_endpoint> place_queue::list_endpoints(const view& seen,
-                                                                      const place_request& request) const {
-    std::vector<listed_endpoint> listed;
-    const std::vector<known_engine> engines = this->directory.engines();
+place_result place_queue::try_place(const place_request& request) {
+    const view seen = this->shared.current();
+    std::vector<endpoint_candidate> candidates;
+    const std::vector<net_address> closed = this->peers.closed_engines();
     const std::size_t known = seen.endpoints ? seen.endpoints->endpoints.size() : 0;
     for (std::size_t i = 0; i < known; ++i) {
         const endpoint_record& record = seen.endpoints->endpoints[i];
@@ -38,36 +35,9 @@
         const endpoint_digest digest = digest_of_instance(record.instance);
         const bool was_tried =
             std::find(request.tried.begin(), request.tried.end(), record.instance) != request.tried.end();
-        const auto engine = std::find_if(engines.begin(), engines.end(), [&record](const known_engine& known) {
-            return known.address == record.address;
-        });
-        const bool is_rank = engine != engines.end();
-        const std::string group = is_rank ? engine->group : "";
-        const bool is_avoided = this->avoidance.is_avoided(digest) || (is_rank && this->detector.is_silent(group));
-        listed.push_back({{i, this->board.total(digest), record.slots, places_of(record.slots, request.is_stream),
-                           is_avoided, was_tried, is_rank && engine->is_closed},
-                          group});
-    }
-    return listed;
-}
-
-bool place_queue::has_place_beyond(const std::string& service, const std::string& group) const {
-    place_request wanted;
-    wanted.service = service;
-    wanted.is_stream = true;
-    const std::vector<listed_endpoint> listed = this->list_endpoints(this->shared.current(), wanted);
-    return std::any_of(listed.begin(), listed.end(), [&group](const listed_endpoint& other) {
-        return other.group != group && !other.candidate.is_avoided && has_place(other.candidate);
-    });
-}
-
-place_result place_queue::try_place(const place_request& request) {
-    const view seen = this->shared.current();
-    const std::vector<listed_endpoint> listed = this->list_endpoints(seen, request);
-    std::vector<endpoint_candidate> candidates;
-    candidates.reserve(listed.size());
-    for (const listed_endpoint& endpoint : listed) {
-        candidates.push_back(endpoint.candidate);
+        const bool is_closed = std::find(closed.begin(), closed.end(), record.address) != closed.end();
+        candidates.push_back({i, this->board.total(digest), record.slots, places_of(record.slots, request.is_stream),
+                              this->avoidance.is_avoided(digest), was_tried, is_closed});
     }
     const endpoint_choice choice = choose_endpoint(candidates, this->random);
     if (!choice.index) {
@@ -76,11 +46,8 @@
         }
         return {choice.is_full ? place_outcome::full : place_outcome::no_endpoint, nullptr};
     }
-    const auto chosen = std::find_if(listed.begin(), listed.end(), [&choice](const listed_endpoint& endpoint) {
-        return endpoint.candidate.index == *choice.index;
-    });
-    return {place_outcome::placed, std::make_unique<endpoint_place>(seen.endpoints->endpoints[*choice.index],
-                                                                    chosen->group, this->board, this->peers)};
+    return {place_outcome::placed,
+            std::make_unique<endpoint_place>(seen.endpoints->endpoints[*choice.index], this->board, this->peers)};
 }
 
 place_result place_queue::acquire(const place_request& request, caller_watchpoint& caller) {
--- a/src/direct/place_queue.h
+++ b/src/direct/place_queue.h
@@ -4,11 +4,9 @@
 #include "direct/caller_watchpoint.h"
 #include "direct/endpoint_avoidance.h"
 #include "direct/endpoint_choice.h"
-#include "direct/engine_directory.h"
 #include "direct/load_board.h"
 #include "direct/peer_link.h"
 #include "direct/shared_view.h"
-#include "direct/stall_detector.h"
 
 #include <pomelohoist/clock.h>
 
@@ -28,14 +26,13 @@
 /// A place at an endpoint, held until the request has ended there.
 class endpoint_place {
   public:
-    endpoint_place(endpoint_record chosen, std::string group_name, load_board& loads, peer_link& link);
+    endpoint_place(endpoint_record chosen, load_board& loads, peer_link& link);
     ~endpoint_place();
     endpoint_place(const endpoint_place&) = delete;
     endpoint_place& operator=(const endpoint_place&) = delete;
 
     const endpoint_record endpoint;
     const endpoint_digest digest;
-    const std::string group; ///< that the endpoint is a rank of; empty for none
 
   private:
     load_board& board;
@@ -73,13 +70,10 @@
 /// have to wait too long is refused at once. Safe for several threads.
 class place_queue {
   public:
-    place_queue(shared_view& in_force, load_board& loads, peer_link& link, const engine_directory& ranks,
-                const stall_detector& stalls, endpoint_avoidance& avoided, random_source& randomness,
-                const clock& time_source);
+    place_queue(shared_view& in_force, load_board& loads, peer_link& link, endpoint_avoidance& avoided,
+                random_source& randomness, const clock& time_source);
 
     place_result acquire(const place_request& request, caller_watchpoint& caller);
-    /// @returns true when a stream could be placed at an endpoint of another group that makes progress
-    [[nodiscard]] bool has_place_beyond(const std::string& service, const std::string& group) const;
     /// Lets the waiting requests look again.
     void wake();
     [[nodiscard]] std::size_t waiting() const;
@@ -92,20 +86,11 @@
         friend auto operator<=>(const waiting_key&, const waiting_key&) = default;
     };
 
-    /// What is known of an endpoint, for the decision and for what follows it.
-    struct listed_endpoint {
-        endpoint_candidate candidate;
-        std::string group;
-    };
-
-    [[nodiscard]] std::vector<listed_endpoint> list_endpoints(const view& seen, const place_request& request) const;
     place_result try_place(const place_request& request);
 
     shared_view& shared;
     load_board& board;
     peer_link& peers;
-    const engine_directory& directory;
-    const stall_detector& detector;
     endpoint_avoidance& avoidance;
     random_source& random;
     const clock& time;
--- a/tests/direct/decision_test.cpp
+++ b/tests/direct/decision_test.cpp
@@ -5,7 +5,6 @@
 #include "direct/load_board.h"
 #include "direct/routing_table.h"
 #include "direct/shared_retry_budget.h"
-#include "direct/stall_detector.h"
 
 #include <gtest/gtest.h>
 
@@ -170,52 +169,6 @@
     EXPECT_TRUE(budgets.front()->try_spend("s", entries));
 }
 
-// Guards against requests that follow each other into a group whose steps stand still, and against a group that is
-// avoided for good.
-TEST(stall_detector_test, tells_a_group_that_stands_still_from_one_that_waits) {
-    manual_clock time;
-    stall_detector detector{time};
-    EXPECT_FALSE(detector.is_silent("g"));
-    detector.begin("g");
-    detector.begin("g");
-    for (int i = 0; i < 20; ++i) {
-        time.advance(120ms);
-        detector.note_event("g");
-        EXPECT_FALSE(detector.is_silent("g"));
-    }
-    time.advance(500ms);
-    EXPECT_TRUE(detector.is_silent("g"));
-    EXPECT_FALSE(detector.is_stalled("g"));
-    EXPECT_FALSE(detector.is_silent("other"));
-    time.advance(500ms);
-    EXPECT_TRUE(detector.is_stalled("g"));
-    detector.end("g");
-    detector.end("g");
-    EXPECT_TRUE(detector.is_silent("g"));
-    time.advance(1100ms);
-    EXPECT_FALSE(detector.is_silent("g")); // one request may find out
-    detector.begin("g");
-    EXPECT_TRUE(detector.is_silent("g"));
-    detector.note_event("g");
-    EXPECT_FALSE(detector.is_silent("g"));
-    detector.end("g");
-    EXPECT_FALSE(detector.is_silent("g"));
-}
-
-// Guards against a quiet time between two streams that is taken for a stall.
-TEST(stall_detector_test, a_group_without_streams_is_not_silent) {
-    manual_clock time;
-    stall_detector detector{time};
-    {
-        const watched_stream first{detector, "g"};
-        detector.note_event("g");
-    }
-    time.advance(10s);
-    EXPECT_FALSE(detector.is_silent("g"));
-    const watched_stream second{detector, "g"};
-    EXPECT_FALSE(detector.is_silent("g"));
-}
-
 // Guards against events that come twice, out of order, or torn, where two runs make one stream.
 TEST(event_tracker_test, passes_whole_events_in_order) {
     event_tracker tracker{""};
--- a/tests/direct/direct_fixture.h
+++ b/tests/direct/direct_fixture.h
@@ -42,14 +42,6 @@
     return content;
 }
 
-/// Ranks that the test names.
-class listed_engines : public engine_directory {
-  public:
-    [[nodiscard]] std::vector<known_engine> engines() const override { return this->listed; }
-
-    std::vector<known_engine> listed;
-};
-
 class direct_entry {
   public:
     explicit direct_entry(const std::vector<net_address>& endpoints) {
@@ -88,11 +80,8 @@
     endpoint_avoidance avoidance{this->time};
     shared_retry_budget budget{{0.2, 100.0, std::chrono::milliseconds{10000}}, this->time};
     connection_pool connections{this->time};
-    stall_detector stalls{this->time};
-    listed_engines ranks;
-    place_queue places{this->shared, this->board,     this->link,   this->ranks,
-                       this->stalls, this->avoidance, this->random, this->time};
-    forwarding_parts parts{this->names, this->places, this->connections, this->avoidance, this->stalls, this->budget,
+    place_queue places{this->shared, this->board, this->link, this->avoidance, this->random, this->time};
+    forwarding_parts parts{this->names, this->places, this->connections, this->avoidance, this->budget,
                            this->board, this->random, this->time,        this->log,       this->metrics};
     direct_service service{this->parts, this->shared};
     net_address address{"127.0.0.1", this->free_port()};
--- a/tests/direct/forwarding_test.cpp
+++ b/tests/direct/forwarding_test.cpp
@@ -190,48 +190,6 @@
     ASSERT_EQ(first.requests().size() + second.requests().size(), 2U);
 }
 
-// Guards against streams that wait at a group whose steps stand still although another group serves.
-TEST(forwarding_test, a_stream_leaves_a_group_that_makes_no_progress) {
-    const auto stalls = [](const std::string& request, std::size_t) {
-        return scripted_answer{stream_head(request) + chunk(event(1)), {}, false, false, true};
-    };
-    const auto resumes = [](const std::string& request, std::size_t) {
-        const std::string after = field_of(request, "Last-Event-Id");
-        std::string rest;
-        for (int id = after.empty() ? 1 : std::stoi(after) + 1; id <= 3; ++id) {
-            rest += chunk(event(id));
-        }
-        return scripted_answer{stream_head(request) + rest + "0\r\n\r\n"};
-    };
-    scripted_endpoint frozen{stalls};
-    scripted_endpoint beside_it{stalls};
-    scripted_endpoint sound{resumes};
-    direct_entry entry{{frozen.address(), beside_it.address(), sound.address()}};
-    entry.ranks.listed = {{frozen.address(), "g0", false}, {beside_it.address(), "g0", false}};
-    for (int i = 0; i < 5; ++i) {
-        const http_answer answer = entry.call("POST", "/stream/x", "p");
-        EXPECT_EQ(answer.status, 200);
-        EXPECT_TRUE(answer.complete);
-        EXPECT_EQ(answer.body, event(1) + event(2) + event(3));
-    }
-    // One stream found out; the others were kept away from all ranks of the group.
-    EXPECT_LE(frozen.requests().size() + beside_it.requests().size(), 1U);
-}
-
-// Guards against a stream that is broken off although no other group could go on with it.
-TEST(forwarding_test, a_stream_stays_where_no_other_group_serves) {
-    scripted_endpoint late{[](const std::string& request, std::size_t) {
-        return scripted_answer{stream_head(request) + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n",
-                               std::chrono::milliseconds{1000}};
-    }};
-    direct_entry entry{{late.address()}};
-    entry.ranks.listed = {{late.address(), "g0", false}};
-    const http_answer answer = entry.call("POST", "/stream/x", "p");
-    EXPECT_TRUE(answer.complete);
-    EXPECT_EQ(answer.body, event(1) + event(2));
-    EXPECT_EQ(late.requests().size(), 1U);
-}
-
 // Guards against a stream that ends early and looks complete.
 TEST(forwarding_test, a_stream_that_cannot_go_on_ends_visibly) {
     scripted_endpoint breaks{[](const std::string& request, std::size_t) {
