--- a/src/direct/place_queue.cpp
+++ b/src/direct/place_queue.cpp
@@ -7,9 +7,8 @@
 
 namespace pomelohoist {
 
-endpoint_place::endpoint_place(endpoint_record chosen, std::string group_name, load_board& loads, peer_link& link)
-    : endpoint(std::move(chosen)), digest(digest_of_instance(this->endpoint.instance)), group(std::move(group_name)),
-      board(loads), peers(link) {
+endpoint_place::endpoint_place(endpoint_record chosen, load_board& loads, peer_link& link)
+    : endpoint(std::move(chosen)), digest(digest_of_instance(this->endpoint.instance)), board(loads), peers(link) {
     this->board.begin(this->digest);
     this->peers.announce_load();
 }
@@ -19,16 +18,14 @@
     this->peers.announce_load();
 }
 
-place_queue::place_queue(shared_view& in_force, load_board& loads, peer_link& link, const engine_directory& ranks,
-                         const stall_detector& stalls, endpoint_avoidance& avoided, random_source& randomness,
-                         const clock& time_source)
-    : shared(in_force), board(loads), peers(link), directory(ranks), detector(stalls), avoidance(avoided),
-      random(randomness), time(time_source) {}
+place_queue::place_queue(shared_view& in_force, load_board& loads, peer_link& link, endpoint_avoidance& avoided,
+                         random_source& randomness, const clock& time_source)
+    : shared(in_force), board(loads), peers(link), avoidance(avoided), random(randomness), time(time_source) {}
 
-std::vector<place_queue::listed_endpoint> place_queue::list_endpoints(const view& seen,
-                                                                      const place_request& request) const {
-    std::vector<listed_endpoint> listed;
-    const std::vector<known_engine> engines = this->directory.engines();
+place_result place_queue::try_place(const place_request& request) {
+    const view seen = this->shared.current();
+    std::vector<endpoint_candidate> candidates;
+    const std::vector<net_address> closed = this->peers.closed_engines();
     const std::size_t known = seen.endpoints ? seen.endpoints->endpoints.size() : 0;
     for (std::size_t i = 0; i < known; ++i) {
         const endpoint_record& record = seen.endpoints->endpoints[i];
@@ -38,52 +35,9 @@
         const endpoint_digest digest = digest_of_instance(record.instance);
         const bool was_tried =
             std::find(request.tried.begin(), request.tried.end(), record.instance) != request.tried.end();
-        const auto engine = std::find_if(engines.begin(), engines.end(), [&record](const known_engine& known) {
-            return known.address == record.address;
-        });
-        const bool is_rank = engine != engines.end();
-        const std::string group = is_rank ? engine->group : "";
-        const bool is_avoided = this->avoidance.is_avoided(digest) || (is_rank && this->detector.is_silent(group));
-        listed.push_back({{i, this->board.total(digest), record.slots, places_of(record.slots, request.is_stream),
-                           is_avoided, was_tried, is_rank && engine->is_closed},
-                          group});
-    }
-    close_stalled(listed);
-    return listed;
-}
-
-void place_queue::close_stalled(std::vector<listed_endpoint>& listed) const {
-    const auto is_stalled = [this](const listed_endpoint& endpoint) {
-        return !endpoint.group.empty() && this->detector.is_stalled(endpoint.group);
-    };
-    const bool has_other = std::any_of(listed.begin(), listed.end(), [&is_stalled](const listed_endpoint& endpoint) {
-        return !endpoint.candidate.is_closed && !is_stalled(endpoint);
-    });
-    if (!has_other) {
-        return; // waiting at a group that stands still is all that there is to do
-    }
-    for (listed_endpoint& endpoint : listed) {
-        endpoint.candidate.is_closed = endpoint.candidate.is_closed || is_stalled(endpoint);
-    }
-}
-
-bool place_queue::has_place_beyond(const std::string& service, const std::string& group) const {
-    place_request wanted;
-    wanted.service = service;
-    wanted.is_stream = true;
-    const std::vector<listed_endpoint> listed = this->list_endpoints(this->shared.current(), wanted);
-    return std::any_of(listed.begin(), listed.end(), [&group](const listed_endpoint& other) {
-        return other.group != group && !other.candidate.is_avoided && has_place(other.candidate);
-    });
-}
-
-place_result place_queue::try_place(const place_request& request) {
-    const view seen = this->shared.current();
-    const std::vector<listed_endpoint> listed = this->list_endpoints(seen, request);
-    std::vector<endpoint_candidate> candidates;
-    candidates.reserve(listed.size());
-    for (const listed_endpoint& endpoint : listed) {
-        candidates.push_back(endpoint.candidate);
+        const bool is_closed = std::find(closed.begin(), closed.end(), record.address) != closed.end();
+        candidates.push_back({i, this->board.total(digest), record.slots, places_of(record.slots, request.is_stream),
+                              this->avoidance.is_avoided(digest), was_tried, is_closed});
     }
     const endpoint_choice choice = choose_endpoint(candidates, this->random);
     if (!choice.index) {
@@ -92,31 +46,25 @@
         }
         return {choice.is_full ? place_outcome::full : place_outcome::no_endpoint, nullptr};
     }
-    const auto chosen = std::find_if(listed.begin(), listed.end(), [&choice](const listed_endpoint& endpoint) {
-        return endpoint.candidate.index == *choice.index;
-    });
-    return {place_outcome::placed, std::make_unique<endpoint_place>(seen.endpoints->endpoints[*choice.index],
-                                                                    chosen->group, this->board, this->peers)};
+    return {place_outcome::placed,
+            std::make_unique<endpoint_place>(seen.endpoints->endpoints[*choice.index], this->board, this->peers)};
 }
 
 place_result place_queue::acquire(const place_request& request, caller_watchpoint& caller) {
     std::unique_lock lock{this->mutex};
-    waiting_line& line = this->lines[request.service];
+    std::set<waiting_key>& line = this->waiting_by_service[request.service];
     const waiting_key own{request.importance, this->next_number++};
-    line.keys.insert(own);
-    line.patience.note_waiting(line.keys.size(), this->time.now());
+    line.insert(own);
     place_result placed;
     while (true) {
-        if (*line.keys.begin() == own) {
+        if (*line.begin() == own) {
             placed = this->try_place(request);
             if (placed.outcome != place_outcome::full && placed.outcome != place_outcome::closed) {
                 break;
             }
         }
         // A group that forms anew is back soon, and until then no other place can come free.
-        const steady_time until = placed.outcome == place_outcome::closed
-                                      ? request.until_open
-                                      : line.patience.give_up_at(request.until, this->time.now());
+        const steady_time until = placed.outcome == place_outcome::closed ? request.until_open : request.until;
         if (this->time.now() >= until) {
             placed.outcome = placed.outcome == place_outcome::closed ? place_outcome::closed : place_outcome::full;
             break;
@@ -128,8 +76,7 @@
         const steady_time next_look = this->time.now() + config::place_poll_interval;
         this->freed.wait_until(lock, std::min(until, next_look));
     }
-    line.keys.erase(own);
-    line.patience.note_waiting(line.keys.size(), this->time.now());
+    line.erase(own);
     this->freed.notify_all();
     return placed;
 }
@@ -141,8 +88,8 @@
 std::size_t place_queue::waiting() const {
     const std::lock_guard lock{this->mutex};
     std::size_t sum = 0;
-    for (const auto& [service, line] : this->lines) {
-        sum += line.keys.size();
+    for (const auto& [service, line] : this->waiting_by_service) {
+        sum += line.size();
     }
     return sum;
 }
