Model the ordered map switch in Spin

Change: models/ordered_switch.pml has two coordinators with fencing tokens, orders that are lost or carried out at any later time without a look at the token, and one loss of the epoch. It includes the new rule that a group of which a rank was never prepared need not wait.

Ruled out: taking the earlier model of agents with votes; its messages and promises do not exist here.

--- /dev/null
+++ b/models/ordered_switch.pml
@@ -0,0 +1,234 @@
+/*
+ * The switch of the expert map on ranks that take orders: prepare all, hold step S at rank 0, arm all for S, go on. Two
+ * ranks, two coordinators with fencing tokens 1 and 2 at the same time, one loss of the group's epoch. A coordinator may
+ * stop at any point (killed) or stand still for any time (frozen). An order is carried out at once, is lost, or is
+ * accepted without an answer and carried out at any later time, then without a look at its fencing token.
+ *
+ * Rules of a coordinator:
+ *   - it shows its token to every rank before it reads them, and stops when a rank has seen a higher one;
+ *   - it holds S only after it has seen all ranks prepared, and arms only after it has seen the hold;
+ *   - a rank counts as armed by its own report only, and S goes on when all are armed;
+ *   - what it finds: a hold with all prepared, or any armed rank, is completed; a hold with a rank that is not prepared is
+ *     ended; without a hold it begins a switch only while a rank is not prepared, and otherwise waits until S has begun.
+ *
+ * Property: when S begins, both ranks are armed or none is.
+ *
+ * Faulty variants, each of which must be refuted:
+ *   NO_HOLD           ranks are armed without a hold
+ *   GO_EARLY          S goes on when the first rank is armed
+ *   ARM_ASSUMED       an order to arm without an answer counts as carried out
+ *   HOLD_ASSUMED      an order to hold without an answer counts as carried out
+ *   RELEASE_PREPARED  a hold without an armed rank is ended although all ranks are prepared
+ *   READ_BEFORE_FENCE a coordinator decides by what it read before all ranks had seen its token
+ *   EPOCH_IGNORED     a rank carries out orders of an earlier epoch
+ */
+
+#define RANKS 2
+#define NONE 0
+
+bool prepared[RANKS];
+bool armed[RANKS];
+bool held;
+bool begun;
+byte fence[RANKS];
+byte epoch = 1;
+byte losses_left = 1;
+
+/* Accepted without an answer: the order's epoch, or NONE. */
+byte late_prepare[RANKS];
+byte late_arm[RANKS];
+byte late_hold;
+byte late_go;
+
+#ifdef EPOCH_IGNORED
+#define FITS(e) true
+#else
+#define FITS(e) ((e) == epoch)
+#endif
+
+inline do_prepare(rank, e) {
+    if
+    :: FITS(e) && !armed[rank] -> prepared[rank] = true
+    :: else -> skip
+    fi
+}
+
+inline do_arm(rank, e) {
+    if
+    :: FITS(e) && prepared[rank] && !begun -> armed[rank] = true
+    :: else -> skip
+    fi
+}
+
+inline do_hold(e) {
+    if
+    :: FITS(e) && !begun -> held = true
+    :: else -> skip
+    fi
+}
+
+inline do_go(e) {
+    if
+    :: FITS(e) -> held = false
+    :: else -> skip
+    fi
+}
+
+/* One order to a rank: refused for its token, carried out, accepted for later, or lost. */
+#define GIVE(rank, carry_out, keep) \
+    atomic { \
+        if \
+        :: fence[rank] > token -> goto stopped \
+        :: fence[rank] <= token -> \
+            fence[rank] = token; \
+            if \
+            :: carry_out \
+            :: keep \
+            fi \
+        :: true -> skip \
+        fi \
+    }
+
+active proctype group() {
+end:
+    do
+    :: atomic { !held && !begun -> begun = true; assert(armed[0] == armed[1]) }
+    od
+}
+
+active proctype late_orders() {
+    byte rank;
+end:
+    do
+    :: atomic { late_prepare[0] != NONE -> do_prepare(0, late_prepare[0]); late_prepare[0] = NONE }
+    :: atomic { late_prepare[1] != NONE -> do_prepare(1, late_prepare[1]); late_prepare[1] = NONE }
+    :: atomic { late_arm[0] != NONE -> do_arm(0, late_arm[0]); late_arm[0] = NONE }
+    :: atomic { late_arm[1] != NONE -> do_arm(1, late_arm[1]); late_arm[1] = NONE }
+    :: atomic { late_hold != NONE -> do_hold(late_hold); late_hold = NONE }
+    :: atomic { late_go != NONE -> do_go(late_go); late_go = NONE }
+    od
+}
+
+active proctype loss_of_epoch() {
+    atomic {
+        losses_left > 0 ->
+        losses_left--;
+        epoch++;
+        prepared[0] = false; prepared[1] = false;
+        armed[0] = false; armed[1] = false;
+        held = false; begun = false;
+        fence[0] = 0; fence[1] = 0
+    }
+}
+
+inline read_all() {
+    saw_prepared = prepared[0];
+    saw_armed = armed[0];
+    saw_held = held;
+    saw_prepared = saw_prepared && prepared[1];
+    saw_armed = saw_armed || armed[1]
+}
+
+proctype coordinator(byte token) {
+    byte own;
+    byte rank;
+    bool saw_prepared;
+    bool saw_armed;
+    bool saw_held;
+
+    own = epoch;
+#ifdef READ_BEFORE_FENCE
+    read_all();
+#endif
+    rank = 0;
+    do
+    :: rank < RANKS -> GIVE(rank, skip, skip); rank++
+    :: else -> break
+    od;
+    /* An order that was lost shows no token. */
+    if
+    :: fence[0] != token || fence[1] != token -> goto stopped
+    :: else -> skip
+    fi;
+#ifndef READ_BEFORE_FENCE
+    read_all();
+#endif
+    if
+    :: begun || epoch != own -> goto stopped
+    :: else -> skip
+    fi;
+#ifdef RELEASE_PREPARED
+    if
+    :: saw_held && !saw_armed -> goto release
+    :: else -> skip
+    fi;
+#endif
+    if
+    :: saw_armed || (saw_held && saw_prepared) -> goto complete
+    :: !saw_armed && saw_held && !saw_prepared -> goto release
+    :: !saw_armed && !saw_held && saw_prepared -> goto stopped /* waits until S has begun */
+    :: !saw_armed && !saw_held && !saw_prepared -> skip
+    fi;
+
+    do
+    :: !prepared[0] -> GIVE(0, do_prepare(0, own), late_prepare[0] = own)
+    :: !prepared[1] -> GIVE(1, do_prepare(1, own), late_prepare[1] = own)
+    :: prepared[0] && prepared[1] -> break
+    :: goto stopped
+    od;
+    if
+    :: epoch != own -> goto stopped
+    :: else -> skip
+    fi;
+#ifndef NO_HOLD
+    GIVE(0, do_hold(own), late_hold = own);
+#ifndef HOLD_ASSUMED
+    if
+    :: !held -> goto stopped /* the hold may still come, and ends as a stray one */
+    :: held -> skip
+    fi;
+#endif
+#endif
+
+complete:
+    if
+    :: epoch != own -> goto stopped
+    :: else -> skip
+    fi;
+    rank = 0;
+    do
+    :: rank < RANKS ->
+        do
+        :: epoch != own -> goto stopped
+        :: armed[rank] -> break
+        :: !armed[rank] ->
+            GIVE(rank, do_arm(rank, own), late_arm[rank] = own)
+#ifdef ARM_ASSUMED
+            ; break
+#endif
+        :: goto stopped
+        od;
+        rank++;
+#ifdef GO_EARLY
+        break
+#endif
+    :: rank >= RANKS -> break
+    od;
+
+release:
+    do
+    :: held && epoch == own -> GIVE(0, do_go(own), late_go = own)
+    :: !held || epoch != own -> break
+    :: goto stopped
+    od;
+
+stopped:
+    skip
+}
+
+init {
+    atomic {
+        run coordinator(1);
+        run coordinator(2)
+    }
+}
--- a/scripts/check_models.sh
+++ b/scripts/check_models.sh
@@ -30,7 +30,15 @@
 map_switch refuted -DBALLOT_IGNORED
 map_switch refuted -DPROMISE_IGNORED
 map_switch refuted -DPROPOSAL_KEPT
-map_switch refuted -DBALLOT_NOT_READ'
+map_switch refuted -DBALLOT_NOT_READ
+ordered_switch holds
+ordered_switch refuted -DNO_HOLD
+ordered_switch refuted -DGO_EARLY
+ordered_switch refuted -DARM_ASSUMED
+ordered_switch refuted -DHOLD_ASSUMED
+ordered_switch refuted -DRELEASE_PREPARED
+ordered_switch refuted -DREAD_BEFORE_FENCE
+ordered_switch refuted -DEPOCH_IGNORED'
 
 check_one() {
     local model=$1 expected=$2 option=${3:-}
