Test the platform's programs as processes

Cause: no test started pomelohoist-platform-entry; the first seconds of a process (503 in place of 401 or 404 without a declaration) had no test.

Change: entries and the process beside a rank run against the stand-in store and scripted endpoints: first seconds, a removed key at an entry that does not read the store itself, SIGTERM, a store and an engine that are away, missing settings. A rank's answer that is cut off has a test, too.

--- /dev/null
+++ b/tests/adapter/platform_programs_test.cpp
@@ -0,0 +1,189 @@
+#include "support/child_process.h"
+#include "support/http_client.h"
+#include "support/row_store.h"
+#include "support/scripted_endpoint.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <thread>
+#include <unistd.h>
+
+/// The programs of the users' platform as processes, with a store and endpoints that the test plays.
+namespace pomelohoist::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using test_support::child_process;
+using test_support::field_of;
+using test_support::http_answer;
+using test_support::row_store;
+using test_support::scripted_answer;
+using test_support::scripted_endpoint;
+using test_support::store_mood;
+using test_support::whole_answer_to;
+
+constexpr const char* entry_program = POMELOHOIST_BIN_DIR "/pomelohoist-platform-entry";
+constexpr const char* rank_program = POMELOHOIST_BIN_DIR "/pomelohoist-platform-rank";
+constexpr const char* declaration =
+    R"({"version":3,"routes":[{"name":"r","host":"h.example","prefix":"/p/","kind":"safe","timeout_ms":3000,)"
+    R"("goal_ms":100,"priority":1,"attempts":2,"service":"s"}],"services":[{"name":"s","max_conns":5}],)"
+    R"("tenants":[{"name":"t","api_keys":["k"],"priority":0}],"limits":{"body_bytes":1000}})";
+
+net_address free_address() {
+    const Poco::Net::ServerSocket probe{Poco::Net::SocketAddress{"127.0.0.1", 0}};
+    return {"127.0.0.1", probe.address().port()};
+}
+
+bool comes_true(const std::function<bool()>& condition, std::chrono::milliseconds timeout) {
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > until) {
+            return false;
+        }
+        std::this_thread::sleep_for(20ms);
+    }
+    return true;
+}
+
+/// One running entry.
+class running_entry {
+  public:
+    running_entry(const std::string& name, const net_address& store)
+        : folder(std::filesystem::path{testing::TempDir()} / ("platform-" + name + "-" + std::to_string(getpid()))) {
+        std::filesystem::create_directories(this->folder);
+        const std::string settings = this->folder / "entry.ini";
+        std::ofstream{settings} << "[process]\nname=" << name
+                                << "\ngrace_ms=6000\n[http]\naddress=" << this->http.to_string()
+                                << "\nready_address=" << this->ready.to_string()
+                                << "\nmetrics_address=" << this->metrics.to_string()
+                                << "\n[inner]\naddress=" << free_address().to_string()
+                                << "\n[platform]\naddress=" << store.to_string() << "\n";
+        this->process = std::make_unique<child_process>(entry_program, std::vector<std::string>{"--config", settings},
+                                                        this->folder / "stderr");
+    }
+
+    [[nodiscard]] http_answer call(const std::string& path = "/p/x", const std::string& key = "k") const {
+        return test_support::send_http(this->http, {"GET", path, {{"Host", "h.example"}, {"X-Api-Key", key}}, "", 4s});
+    }
+    [[nodiscard]] bool is_ready() const {
+        return test_support::send_http(this->ready, {"GET", "/", {}, "", 1s}).status == 200;
+    }
+
+    const net_address http{free_address()};
+    const net_address ready{free_address()};
+    const net_address metrics{free_address()};
+    const std::filesystem::path folder;
+    std::unique_ptr<child_process> process;
+};
+
+class platform_programs_test : public testing::Test {
+  protected:
+    void declare(const std::string& content) { this->platform.put("op", "config", content); }
+    void register_endpoint(const std::string& instance, const net_address& address) {
+        this->platform.put("servers", instance,
+                           R"({"service":"s","address":")" + address.to_string() +
+                               R"(","zone":"z","version":"v","slots":4,"state":"ready","seq":1})");
+    }
+
+    row_store platform;
+    scripted_endpoint endpoint{[](const std::string& request, std::size_t) {
+        return scripted_answer{whole_answer_to(request, 200, field_of(request, "X-Pomelohoist-Tenant"))};
+    }};
+};
+
+// Guards against the first seconds of a process: without a declaration it must neither deny a request (401, 404) nor
+// count as ready, and it must serve as soon as it has one.
+TEST_F(platform_programs_test, an_entry_denies_nothing_before_it_knows_a_declaration) {
+    this->platform.set_mood(store_mood::busy);
+    running_entry entry{"e1", this->platform.address()};
+    ASSERT_TRUE(entry.process->wait_ready(5s));
+    for (const char* key : {"k", "unknown"}) {
+        const http_answer early = entry.call("/p/x", key);
+        EXPECT_EQ(early.status, 503);
+        EXPECT_EQ(early.headers.count("Retry-After"), 1U);
+    }
+    EXPECT_FALSE(entry.is_ready());
+    this->declare(declaration);
+    this->register_endpoint("i-1", this->endpoint.address());
+    this->platform.set_mood(store_mood::serves);
+    ASSERT_TRUE(comes_true([&entry] { return entry.is_ready(); }, 5s));
+    const http_answer served = entry.call();
+    EXPECT_EQ(served.status, 200);
+    EXPECT_EQ(served.body, "t");
+    EXPECT_EQ(entry.call("/p/x", "unknown").status, 401);
+    EXPECT_EQ(entry.call("/none/").status, 404);
+}
+
+// Guards against a key that is still served after its removal at an entry that does not read the store itself, and
+// against entries that end with a request under way.
+TEST_F(platform_programs_test, entries_share_changes_and_stop_gracefully) {
+    this->declare(declaration);
+    this->register_endpoint("i-1", this->endpoint.address());
+    running_entry first{"e1", this->platform.address()};
+    running_entry second{"e2", this->platform.address()};
+    for (running_entry* entry : {&first, &second}) {
+        ASSERT_TRUE(comes_true([entry] { return entry->is_ready(); }, 5s));
+        EXPECT_EQ(entry->call().status, 200);
+    }
+    std::string without_key{declaration};
+    without_key.replace(without_key.find("\"version\":3"), 11, "\"version\":7");
+    without_key.replace(without_key.find("[\"k\"]"), 5, "[\"n\"]");
+    this->declare(without_key);
+    std::this_thread::sleep_for(2s); // the time in which a change must be in force everywhere
+    for (const running_entry* entry : {&first, &second}) {
+        EXPECT_EQ(entry->call().status, 401);
+        EXPECT_EQ(entry->call("/p/x", "n").status, 200);
+    }
+    first.process->terminate();
+    EXPECT_TRUE(comes_true([&first] { return !first.is_ready(); }, 1s));
+    EXPECT_EQ(first.call("/p/x", "n").status, 200); // the platform's balancer still sends requests here
+    const auto ended = first.process->wait(8s);
+    ASSERT_TRUE(ended);
+    EXPECT_EQ(ended->exit_status, 0);
+    EXPECT_EQ(second.call("/p/x", "n").status, 200);
+}
+
+// Guards against a process beside a rank that ends while its engine or the store is away.
+TEST_F(platform_programs_test, a_rank_process_outlasts_its_engine_and_the_store) {
+    this->platform.set_mood(store_mood::resets);
+    const std::filesystem::path folder =
+        std::filesystem::path{testing::TempDir()} / ("platform-rank-" + std::to_string(getpid()));
+    std::filesystem::create_directories(folder);
+    const std::string settings = folder / "rank.ini";
+    std::ofstream{settings} << "[process]\nname=r1\n[inner]\naddress=" << free_address().to_string()
+                            << "\n[engine]\naddress=" << free_address().to_string()
+                            << "\nservice=s\n[platform]\naddress=" << this->platform.address().to_string() << "\n";
+    child_process process{rank_program, {"--config", settings}, folder / "stderr"};
+    ASSERT_TRUE(process.wait_ready(5s));
+    std::this_thread::sleep_for(1500ms);
+    EXPECT_TRUE(process.is_running());
+    process.terminate();
+    const auto ended = process.wait(5s);
+    ASSERT_TRUE(ended);
+    EXPECT_EQ(ended->exit_status, 0);
+}
+
+// Guards against a start with a settings file that lacks a field.
+TEST_F(platform_programs_test, a_missing_setting_ends_the_start_with_its_name) {
+    const std::filesystem::path settings =
+        std::filesystem::path{testing::TempDir()} / ("platform-bad-" + std::to_string(getpid()) + ".ini");
+    std::ofstream{settings} << "[process]\nname=r1\n[inner]\naddress=127.0.0.1:0\n";
+    const std::string errors = settings.string() + ".stderr";
+    const auto ended = test_support::run_program(rank_program, {"--config", settings}, errors, 5s);
+    ASSERT_TRUE(ended);
+    EXPECT_NE(ended->exit_status, 0);
+    std::ifstream file{errors};
+    const std::string text{std::istreambuf_iterator<char>{file}, {}};
+    EXPECT_THAT(text + ended->output, testing::HasSubstr("[engine] address: is missing"));
+}
+
+} // namespace
+} // namespace pomelohoist::platform
--- a/tests/adapter/rank_http_engine_test.cpp
+++ b/tests/adapter/rank_http_engine_test.cpp
@@ -77,6 +77,22 @@
     EXPECT_EQ(give(202), order_outcome::accepted);
 }
 
+// Guards against an answer that is cut off, or a status, that is taken for what a rank says of itself.
+TEST(rank_http_engine_test, a_cut_answer_is_none) {
+    scripted_endpoint engine{[](const std::string& request, std::size_t number) {
+        scripted_answer answer = json_answer(number == 0 ? 200 : 500, R"({"map":{"version":4,"experts":[[1]]}})");
+        if (number == 0) {
+            answer.bytes.resize(answer.bytes.size() - 3);
+            answer.closes = true;
+        }
+        static_cast<void>(request);
+        return answer;
+    }};
+    rank_http_engine rank{engine.address()};
+    EXPECT_EQ(rank.read_experts().last_error().kind, error_kind::unreachable);
+    EXPECT_EQ(rank.read_experts().last_error().kind, error_kind::unreachable);
+}
+
 // Guards against counts in another order, or of another rank.
 TEST(rank_http_engine_test, reads_counts_and_experts) {
     scripted_endpoint engine{[](const std::string& request, std::size_t) {
