--- a/makefile
+++ b/makefile
@@ -22,7 +22,7 @@
 	$(build_dir)/bin/demo
 
 test: build
-	ctest --test-dir $(build_dir) --output-on-failure -j 4
+	bash scripts/run_tests.sh $(build_dir) 4
 
 # Seeded fault schedules: SEEDS how many, SEED_BASE the first, SEED one only.
 faults: build
--- a/tests/ranks/map_switcher_test.cpp
+++ b/tests/ranks/map_switcher_test.cpp
@@ -149,6 +149,32 @@
     EXPECT_EQ(deployment.group.mixed_steps, 0U);
 }
 
+// Guards against a group that stands still while the host of its coordinator does: frozen before any call to a rank, a
+// step may stay held only where a rank may be armed.
+TEST(map_switcher_test, a_hold_without_arming_ends_while_its_coordinator_is_frozen) {
+    std::size_t ended = 0;
+    std::size_t still_held = 0;
+    for (std::uint32_t frozen_at = 1; frozen_at <= 400; ++frozen_at) {
+        coordinated_group deployment{group_faults{}, 7};
+        std::uint32_t calls = 0;
+        deployment.group.before_call = [&] {
+            if (++calls != frozen_at) {
+                return;
+            }
+            const bool must_end = deployment.group.is_held() && !deployment.group.is_armed();
+            deployment.group.frozen_rank = 0;
+            deployment.run_term(4); // of the process beside another rank
+            deployment.group.frozen_rank.reset();
+            still_held += must_end && deployment.group.is_held() ? 1 : 0;
+            ended += must_end && !deployment.group.is_held() ? 1 : 0;
+        };
+        deployment.run_term(12);
+        EXPECT_EQ(deployment.group.mixed_steps, 0U) << "frozen at call " << frozen_at;
+    }
+    EXPECT_EQ(still_held, 0U);
+    EXPECT_GT(ended, 3U); // the freeze struck between a hold and the arming
+}
+
 // Guards against two coordinators that both go on: the one with the lower fencing token must give up.
 TEST(map_switcher_test, an_older_coordinator_is_fenced_off) {
     simulated_group group{small_shape, group_faults{}, 1};
--- a/tests/ranks/simulated_group.cpp
+++ b/tests/ranks/simulated_group.cpp
@@ -22,6 +22,9 @@
     result<rank_state> read_state() override {
         this->group.maybe_interrupt();
         this->group.advance(call_ms);
+        if (this->group.frozen_rank == this->number) {
+            return failure{error_kind::unreachable, "frozen"};
+        }
         const auto& own = this->group.data[this->number];
         rank_state state;
         state.group = "g";
@@ -108,6 +111,11 @@
     if (this->is_interrupted) {
         return;
     }
+    if (this->before_call) {
+        this->is_interrupted = true;
+        this->before_call();
+        this->is_interrupted = false;
+    }
     if (this->chance(this->faults.killed)) {
         throw coordinator_killed{};
     }
@@ -120,6 +128,10 @@
 
 order_outcome simulated_group::receive(std::uint32_t rank, const rank_order& order) {
     this->maybe_interrupt();
+    if (this->frozen_rank == rank) {
+        this->advance(timeout_ms);
+        return order_outcome::unanswered;
+    }
     if (this->chance(this->faults.unanswered)) {
         if (this->chance(0.5)) {
             const std::uint64_t delay = earliest_late_ms + this->random() % late_spread_ms;
@@ -187,6 +199,11 @@
                        [](const rank_data& each) { return each.held.has_value(); });
 }
 
+bool simulated_group::is_armed() const {
+    return std::any_of(this->data.begin(), this->data.end(),
+                       [](const rank_data& each) { return each.armed.has_value(); });
+}
+
 void simulated_group::begin_step() {
     const std::uint64_t next = this->step + 1;
     for (const rank_data& each : this->data) {
--- a/tests/ranks/simulated_group.h
+++ b/tests/ranks/simulated_group.h
@@ -47,8 +47,10 @@
     /// Carries out what is late and lets the group run without faults.
     void calm_down();
 
-    std::function<void()> work_of_another; ///< runs while a coordinator is frozen
-    std::uint64_t mixed_steps{0};          ///< steps that began while two ranks had different maps
+    std::function<void()> work_of_another;    ///< runs while a coordinator is frozen
+    std::function<void()> before_call;        ///< runs before each call to a rank
+    std::optional<std::uint32_t> frozen_rank; ///< whose host stands still: nobody reaches it, its engine goes on
+    std::uint64_t mixed_steps{0};             ///< steps that began while two ranks had different maps
     std::uint64_t steps{0};
     std::uint64_t switches{0}; ///< steps at which the map changed
     std::uint64_t epochs{1};
@@ -56,6 +58,7 @@
     std::vector<double> demand; ///< chance of each expert, in the order layer, expert
 
     [[nodiscard]] bool is_held() const;
+    [[nodiscard]] bool is_armed() const; ///< any rank
 
   private:
     friend class simulated_rank;
