Log each reason why a group or an engine cannot be read once

Change: the same rank and reason, or the same reason of an engine, is logged once until it can be read again. The reason why a group that was never prepared need not wait is told exactly.

Ruled out: a longer interval; it decides when the first map comes.

--- a/src/ranks/map_switcher.cpp
+++ b/src/ranks/map_switcher.cpp
@@ -30,8 +30,9 @@
     return std::nullopt;
 }
 
-/// @returns true when nobody has named a step in this epoch: a coordinator holds one only after it has seen a map
-/// prepared on all ranks, and a rank that has been prepared shows that until the group forms anew
+/// @returns true when no switch can be under way: a coordinator holds a step only after it has seen a map prepared on
+/// all ranks. A rank shows that until the group forms anew, or until the copies of a later map begin, which is prepared
+/// only when the group is past every step that was named before.
 bool is_untouched(const std::vector<rank_state>& states) {
     return std::any_of(states.begin(), states.end(),
                        [](const rank_state& state) { return state.map_version == 0 && state.prepared_version == 0; });
@@ -93,19 +94,26 @@
         const result<rank_state>& state = read[i];
         if (!state || !state->is_open || state->rank != i || state->ranks != this->group.size() ||
             (!states.empty() && states.front().epoch != state->epoch)) {
-            this->log.info("group_unreadable",
-                           {{"rank", std::to_string(i)},
-                            {"reason", state ? "another state or epoch" : state.last_error().reason}});
+            this->note_unreadable(i, state ? "another state or epoch" : state.last_error().reason);
             return std::nullopt;
         }
         states.push_back(*state);
     }
+    this->unreadable.clear();
     if (!states.empty()) {
         this->note_epoch(states);
     }
     return states;
 }
 
+void map_switcher::note_unreadable(std::uint32_t rank, const std::string& reason) {
+    std::string seen = std::to_string(rank) + ": " + reason;
+    if (this->unreadable != seen) {
+        this->unreadable = std::move(seen);
+        this->log.info("group_unreadable", {{"rank", std::to_string(rank)}, {"reason", reason}});
+    }
+}
+
 std::optional<std::vector<rank_state>> map_switcher::read_states(std::uint64_t epoch) {
     std::optional<std::vector<rank_state>> states = this->read_states();
     return states && !states->empty() && states->front().epoch == epoch ? states : std::nullopt;
--- a/src/ranks/map_switcher.h
+++ b/src/ranks/map_switcher.h
@@ -83,6 +83,8 @@
     std::vector<order_outcome> give_all(const rank_order& order);
     rank_order order_of(rank_order_kind kind, std::uint64_t epoch, const armed_switch& wanted) const;
     std::optional<std::vector<rank_state>> read_states(std::uint64_t epoch);
+    /// Logs each reason once: rounds follow each other quickly while a group forms.
+    void note_unreadable(std::uint32_t rank, const std::string& reason);
     void name_step(std::uint64_t step);
     void note_epoch(const std::vector<rank_state>& states);
 
@@ -90,6 +92,7 @@
     rank_sweep& sweep;
     pause_source& waiter;
     structured_log& log;
+    std::string unreadable; ///< rank and reason that were logged last; empty while the group can be read
     std::uint64_t token{0};
     std::uint64_t seen_epoch{0};
     std::atomic<bool> is_fenced_off{false};
--- a/src/ranks/rank_daemon.cpp
+++ b/src/ranks/rank_daemon.cpp
@@ -125,11 +125,11 @@
         while (this->pause(static_cast<std::uint32_t>(wait.count()))) {
             const result<rank_state> own = this->engine->read_state();
             if (own && !own->group.empty()) {
+                this->unreadable.clear();
                 this->note_rank(*own);
                 this->coordinate(*own);
             } else {
-                this->context.log.info("engine_unreadable", {{"reason", own ? "no group" : own.last_error().reason}});
-                this->note_unreachable();
+                this->note_unreachable(own ? "no group" : own.last_error().reason);
             }
             // The entries should hear soon that the group serves again.
             const bool is_forming = !own || !own->is_open || (this->coordinator && this->coordinator->is_forming());
@@ -160,7 +160,11 @@
     }
 
     /// The group of an engine that does not answer is broken, or is about to be.
-    void note_unreachable() {
+    void note_unreachable(const std::string& reason) {
+        if (this->unreadable != reason) {
+            this->unreadable = reason;
+            this->context.log.info("engine_unreadable", {{"reason", reason}});
+        }
         if (this->noted) {
             inner::rank_note note = *this->noted;
             note.is_open = false;
@@ -239,6 +243,7 @@
     std::unique_ptr<control_store> store;
     std::unique_ptr<store_follower> follower;
     std::optional<inner::rank_note> noted;
+    std::string unreadable; ///< reason that was logged last; empty while the engine answers
     std::uint32_t max_new{0};
     parallel_sweep sweep;
     std::unique_ptr<reached_group> group;
