Follow sudden changes of the experts' load within a step or two

Cause: the load of the experts is constant for seconds and then changes at once (rounds of recorded counts: cosine 0.97 to 1.00, then 0.25 to 0.9).

Change: load_shift_detector restarts the estimate with the first round that differs and subtracts the earlier load from a mixed round. Plans share a budget of copies per rank over all layers; the budget with the largest gain over the expected life of the load is chosen. Counts are read while ranks copy, and an obsolete map is abandoned before arming. Only ranks that are not prepared are polled, every 50 ms. The target step follows the measured time of arming instead of a fixed lead. Counts of a rank that does not respond no longer discard the round.

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -148,9 +148,9 @@
 inline constexpr std::uint64_t ranks_armed_in_a_step = 8;
 inline constexpr std::uint32_t rank_sweep_threads = 8; // a few kilobytes of stack each, only during a sweep
 inline constexpr std::uint32_t rank_command_attempts = 5;
-// Number of checks whether all ranks have prepared the map; the switch is abandoned when the last check fails.
-inline constexpr std::uint32_t prepare_checks = 40;
-inline constexpr std::uint32_t prepare_check_ms = 100; // between two checks; a copy of 24 experts takes 1.2 s
+// The switch is abandoned when a rank has not prepared the map after this time.
+inline constexpr std::chrono::milliseconds prepare_timeout{5000};
+inline constexpr std::uint32_t prepare_check_ms = 50; // between two checks; one copy takes 6 to 400 ms
 inline constexpr std::uint32_t arm_retry_ms = 10;
 inline constexpr std::chrono::milliseconds rank_call_timeout{300};
 // Short, because an engine that does not respond at once responds only seconds later.
@@ -158,6 +158,8 @@
 // After a failed call to a rank process, its engine is called directly for this time.
 inline constexpr std::chrono::milliseconds rank_process_cooldown{2000};
 inline constexpr std::chrono::milliseconds map_interval{300};
+// Interval of a coordinator: the sooner a change of the load is seen, the fewer streams pause too long.
+inline constexpr std::chrono::milliseconds coordination_interval{120};
 // Interval while a group forms and until its first plan: streams that begin on the first map, where one rank may have
 // three times the mean load, pause too long. Two steps of some 50 ms.
 inline constexpr std::chrono::milliseconds forming_map_interval{100};
--- a/src/balance/layer_planner.cpp
+++ b/src/balance/layer_planner.cpp
@@ -31,11 +31,12 @@
 
 class layer_search {
   public:
+    /// @param rank_copies copies that each rank makes for all layers of the plan; updated by the search
     layer_search(const expert_shape& group, std::span<std::uint32_t> layer_slots, std::span<const double> expert_loads,
-                 const layer_plan_limits& plan_limits)
-        : shape(group), slots(layer_slots), limits(plan_limits), original(layer_slots.begin(), layer_slots.end()),
-          loads(expert_loads.begin(), expert_loads.end()), expert_ranks(group.experts), rank_load(group.ranks, 0.0),
-          delta(group.ranks, 0.0) {
+                 const layer_plan_limits& plan_limits, std::span<std::uint32_t> rank_copies)
+        : shape(group), slots(layer_slots), limits(plan_limits), copies(rank_copies),
+          original(layer_slots.begin(), layer_slots.end()), loads(expert_loads.begin(), expert_loads.end()),
+          expert_ranks(group.experts), rank_load(group.ranks, 0.0), delta(group.ranks, 0.0) {
         const double total = std::accumulate(this->loads.begin(), this->loads.end(), 0.0);
         for (double& load : this->loads) {
             load = total > 0.0 ? load * group.ranks / total : 0.0;
@@ -54,14 +55,19 @@
         }
     }
 
-    void run() {
-        for (std::uint32_t i = 0; i<max_changes_for_each_layer&& this->peak()> this->limits.acceptable_peak; ++i) {
-            const std::optional<layer_change> change = this->find();
-            if (!change) {
-                return;
-            }
-            this->apply(*change);
+    /// Applies the best change.
+    /// @returns false when the layer needs no change, or no change gains more than its cost
+    bool improve() {
+        if (this->changes == max_changes_for_each_layer || this->peak() <= this->limits.acceptable_peak) {
+            return false;
+        }
+        const std::optional<layer_change> change = this->find();
+        if (!change) {
+            return false;
         }
+        this->apply(*change);
+        ++this->changes;
+        return true;
     }
 
     [[nodiscard]] double peak() const { return *std::max_element(this->rank_load.begin(), this->rank_load.end()); }
@@ -81,17 +87,25 @@
         return std::find(begin, begin + this->shape.slots_per_rank, expert) != begin + this->shape.slots_per_rank;
     }
 
-    /// @returns true when adding the expert keeps the number of experts new to the rank within `max_new`
+    [[nodiscard]] bool is_new(std::uint32_t rank, std::uint32_t expert) const {
+        return expert != no_expert && !this->was_held(rank, expert);
+    }
+
+    /// @returns number of experts of this layer that the plan adds to the rank
+    [[nodiscard]] std::uint32_t added_to(std::uint32_t rank) {
+        std::uint32_t added = 0;
+        for (std::uint32_t i = 0; i < this->shape.slots_per_rank; ++i) {
+            added += this->is_new(rank, this->at(rank, i)) ? 1U : 0U;
+        }
+        return added;
+    }
+
+    /// @returns true when adding the expert keeps the copies that the rank makes within the limits
     [[nodiscard]] bool can_add(std::uint32_t rank, std::uint32_t slot, std::uint32_t expert) {
-        if (this->was_held(rank, expert)) {
+        if (this->was_held(rank, expert) || this->is_new(rank, this->at(rank, slot))) {
             return true;
         }
-        std::uint32_t added = 1;
-        for (std::uint32_t i = 0; i < this->shape.slots_per_rank; ++i) {
-            const std::uint32_t content = this->at(rank, i);
-            added += i != slot && content != no_expert && !this->was_held(rank, content) ? 1U : 0U;
-        }
-        return added <= this->limits.max_new;
+        return this->copies[rank] < this->limits.max_copies_per_rank && this->added_to(rank) < this->limits.max_new;
     }
 
     /// @returns load of one replica
@@ -146,6 +160,8 @@
 
     void replace(std::uint32_t rank, std::uint32_t slot, std::uint32_t expert) {
         std::uint32_t& content = this->at(rank, slot);
+        this->copies[rank] -= this->is_new(rank, content) ? 1U : 0U;
+        this->copies[rank] += this->is_new(rank, expert) ? 1U : 0U;
         if (content != no_expert) {
             std::vector<std::uint32_t>& ranks = this->expert_ranks[content];
             ranks.erase(std::find(ranks.begin(), ranks.end(), rank));
@@ -225,6 +241,8 @@
     expert_shape shape;
     std::span<std::uint32_t> slots;
     layer_plan_limits limits;
+    std::span<std::uint32_t> copies;
+    std::uint32_t changes{0};
     std::vector<std::uint32_t> original;
     std::vector<double> loads;                            ///< relative to the mean load of a rank
     std::vector<std::vector<std::uint32_t>> expert_ranks; ///< ranks that hold each expert
@@ -240,24 +258,41 @@
                                 std::span<const double> loads) {
     std::vector<double> peaks;
     std::vector<std::uint32_t> copy(slots.begin(), slots.end());
+    std::vector<std::uint32_t> rank_copies(shape.ranks, 0);
     for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
         const layer_search search{
             shape, std::span{copy}.subspan(layer * shape.slots_per_layer(), shape.slots_per_layer()),
-            loads.subspan(std::size_t{layer} * shape.experts, shape.experts), layer_plan_limits{}};
+            loads.subspan(std::size_t{layer} * shape.experts, shape.experts), layer_plan_limits{}, rank_copies};
         peaks.push_back(search.peak());
     }
     return peaks;
 }
 
-std::vector<std::uint32_t> plan_layers(const expert_shape& shape, std::span<const std::uint32_t> slots,
-                                       std::span<const double> loads, const layer_plan_limits& limits) {
-    std::vector<std::uint32_t> planned(slots.begin(), slots.end());
+layer_plan plan_layers(const expert_shape& shape, std::span<const std::uint32_t> slots, std::span<const double> loads,
+                       const layer_plan_limits& limits) {
+    layer_plan plan{{slots.begin(), slots.end()}, 0};
+    std::vector<std::uint32_t> rank_copies(shape.ranks, 0);
+    std::vector<layer_search> searches;
+    std::vector<std::uint32_t> open; // layers that may still improve
+    searches.reserve(shape.layers);
     for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
-        layer_search search{shape, std::span{planned}.subspan(layer * shape.slots_per_layer(), shape.slots_per_layer()),
-                            loads.subspan(std::size_t{layer} * shape.experts, shape.experts), limits};
-        search.run();
+        searches.emplace_back(shape,
+                              std::span{plan.slots}.subspan(layer * shape.slots_per_layer(), shape.slots_per_layer()),
+                              loads.subspan(std::size_t{layer} * shape.experts, shape.experts), limits, rank_copies);
+        open.push_back(layer);
+    }
+    // The layers share the copies that a rank may make, so the layer with the largest peak takes its next copy first.
+    while (!open.empty()) {
+        const auto next =
+            std::max_element(open.begin(), open.end(), [&searches](std::uint32_t left, std::uint32_t right) {
+                return searches[left].peak() < searches[right].peak();
+            });
+        if (!searches[*next].improve()) {
+            open.erase(next);
+        }
     }
-    return planned;
+    plan.copies_per_rank = *std::max_element(rank_copies.begin(), rank_copies.end());
+    return plan;
 }
 
 } // namespace pomelohoist
--- a/src/direct/routing_table.h
+++ b/src/direct/routing_table.h
@@ -65,9 +65,10 @@
     std::uint32_t experts{0};
     std::uint32_t slots_per_rank{0}; ///< in each layer
     std::uint32_t max_new{0};        ///< experts of a layer that one map may add to a rank
+    std::uint32_t copy_us{0};        ///< time in which a rank copies one expert, in microseconds
 
     template <class Archive> void serialize(Archive& archive) {
-        archive(this->layers, this->experts, this->slots_per_rank, this->max_new);
+        archive(this->layers, this->experts, this->slots_per_rank, this->max_new, this->copy_us);
     }
     friend bool operator==(const expert_layout&, const expert_layout&) = default;
 };
--- a/src/ranks/map_coordinator.cpp
+++ b/src/ranks/map_coordinator.cpp
@@ -1,11 +1,11 @@
 #include "ranks/map_coordinator.h"
 
-#include "balance/layer_planner.h"
-
 #include <pomelohoist/config.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <limits>
 #include <numeric>
 #include <utility>
 
@@ -18,11 +18,24 @@
            static_cast<double>(std::max<std::size_t>(values.size(), 1));
 }
 
+std::string milliseconds_text(seconds_span value) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
 std::string percent_text(double value) {
     constexpr double hundredths = 100.0;
     return std::to_string(std::lround(value * hundredths)) + "%";
 }
 
+// Copies per rank of the plans that are compared.
+constexpr std::array<std::uint32_t, 5> copy_budgets{1, 2, 4, 8, std::numeric_limits<std::uint32_t>::max()};
+// Copies that take less than this in total are not worth a comparison of plans.
+constexpr seconds_span negligible_copy_time{0.1};
+constexpr seconds_span first_switch_overhead{0.5};
+constexpr double overhead_gain = 0.3;
+// While a map is prepared, a load under which its peaks exceed the planned ones by this factor makes it obsolete.
+constexpr double obsolete_factor = 1.35;
+
 } // namespace
 
 map_coordinator::map_coordinator(rank_group& controlled_group, rank_sweep& sweeper, map_switcher& group_switcher,
@@ -30,7 +43,7 @@
                                  structured_log& process_log, metrics_registry& metrics)
     : group(controlled_group), sweep(sweeper), switcher(group_switcher), shape(group_shape), policy(tunables),
       time(time_source), log(process_log), switches(metrics.get_counter("map_switches_total")),
-      loads(group_shape.cells(), 0.0) {}
+      detector(group_shape, tunables.window, tunables.first_life), switch_overhead(first_switch_overhead) {}
 
 bool map_coordinator::run_once() {
     const std::optional<std::vector<rank_state>> states = this->switcher.read_states();
@@ -62,53 +75,74 @@
     if (!planned) {
         return true;
     }
-    const map_switcher::outcome outcome = this->switcher.switch_to(*states, this->shape, *planned);
+    const steady_time planned_at = this->time.now();
+    const map_switcher::outcome outcome = this->switcher.switch_to(
+        *states, this->shape, *planned, std::chrono::duration<double, std::milli>{this->step_ms}, *this);
     if (outcome == map_switcher::outcome::switched) {
         this->switches.add();
         this->current_slots = *planned;
         this->current_version = this->switcher.switched_version();
+        const seconds_span overhead = this->time.now() - planned_at - this->wanted_copy_time;
+        this->switch_overhead += overhead_gain * (std::max(overhead, seconds_span::zero()) - this->switch_overhead);
     }
     return outcome != map_switcher::outcome::fenced;
 }
 
-void map_coordinator::update_loads() {
-    std::vector<result<std::vector<std::uint64_t>>> read(this->shape.ranks,
-                                                         failure{error_kind::unreachable, "not read"});
-    this->sweep.for_each(this->shape.ranks,
-                         [this, &read](std::uint32_t rank) { read[rank] = this->group.rank(rank).read_counts(); });
-    std::vector<std::vector<std::uint64_t>> counts;
-    for (result<std::vector<std::uint64_t>>& each : read) {
-        if (!each || each->size() != this->shape.cells()) {
-            return; // counts are cumulative: the next round that reads all ranks includes this round's selections
-        }
-        counts.push_back(std::move(*each));
+bool map_coordinator::is_still_wanted() {
+    if (!this->update_loads() || !this->detector.is_settled()) {
+        return true;
     }
-    if (this->last_counts.size() == counts.size()) {
-        this->add_selections(counts);
+    const double peak = mean_of(layer_peaks(this->shape, this->wanted_slots, this->detector.loads()));
+    if (peak <= this->wanted_peak * obsolete_factor) {
+        return true;
     }
+    this->log.info("prepared_map_obsolete",
+                   {{"peak_planned", percent_text(this->wanted_peak)}, {"peak", percent_text(peak)}});
+    return false;
+}
+
+bool map_coordinator::update_loads() {
+    std::vector<std::vector<std::uint64_t>> counts(this->shape.ranks);
+    this->sweep.for_each(this->shape.ranks, [this, &counts](std::uint32_t rank) {
+        result<std::vector<std::uint64_t>> read = this->group.rank(rank).read_counts();
+        if (read && read->size() == this->shape.cells()) {
+            counts[rank] = std::move(*read);
+        }
+    });
+    const bool has_selections = this->add_selections(counts);
     this->last_counts = std::move(counts);
     this->counted_at = this->time.now();
+    return has_selections;
 }
 
-void map_coordinator::add_selections(const std::vector<std::vector<std::uint64_t>>& counts) {
-    const std::chrono::duration<double> elapsed = this->time.now() - this->counted_at;
-    const double decay = std::exp(-elapsed.count() / this->policy.window_s);
-    for (double& load : this->loads) {
-        load *= decay;
+bool map_coordinator::add_selections(const std::vector<std::vector<std::uint64_t>>& counts) {
+    if (this->last_counts.size() != counts.size()) {
+        return false;
     }
+    std::vector<double> selections(this->shape.cells(), 0.0);
+    bool has_counts = false;
     for (std::size_t i = 0; i < counts.size(); ++i) {
-        for (std::size_t cell = 0; cell < this->loads.size(); ++cell) {
+        if (counts[i].empty() || this->last_counts[i].empty()) {
+            continue; // the ranks of a group choose alike, so the counts of the others suffice
+        }
+        has_counts = true;
+        for (std::size_t cell = 0; cell < selections.size(); ++cell) {
             // After a restart, a rank counts from zero.
             const std::uint64_t previous =
                 counts[i][cell] >= this->last_counts[i][cell] ? this->last_counts[i][cell] : 0;
-            this->loads[cell] += static_cast<double>(counts[i][cell] - previous);
+            selections[cell] += static_cast<double>(counts[i][cell] - previous);
         }
     }
+    if (has_counts) {
+        this->detector.add(selections, this->time.now() - this->counted_at);
+    }
+    return has_counts;
 }
 
 bool map_coordinator::has_enough_samples() const {
-    const double sample = std::accumulate(this->loads.begin(), this->loads.end(), 0.0);
-    return sample >= config::least_sample_per_expert * static_cast<double>(this->loads.size());
+    const std::vector<double>& loads = this->detector.loads();
+    const double sample = std::accumulate(loads.begin(), loads.end(), 0.0);
+    return sample >= config::least_sample_per_expert * static_cast<double>(loads.size());
 }
 
 void map_coordinator::observe_step_time(const std::vector<rank_state>& states) {
@@ -157,23 +191,58 @@
     return true;
 }
 
-std::optional<std::vector<std::uint32_t>> map_coordinator::plan() const {
-    const std::vector<std::uint32_t>& slots = this->current_slots;
+std::optional<std::vector<std::uint32_t>> map_coordinator::plan() {
+    if (!this->detector.is_settled()) {
+        return std::nullopt;
+    }
     const switch_threshold& threshold =
         this->step_ms >= this->policy.busy_step_ms ? this->policy.busy : this->policy.calm;
-    const layer_plan_limits limits{this->policy.max_new, threshold.min_gain_per_copy, threshold.acceptable_peak};
-    std::vector<std::uint32_t> planned = plan_layers(this->shape, slots, this->loads, limits);
-    const double before = mean_of(layer_peaks(this->shape, slots, this->loads));
-    const double after = mean_of(layer_peaks(this->shape, planned, this->loads));
-    if (before - after < threshold.min_switch_gain) {
+    const std::vector<double>& loads = this->detector.loads();
+    const double before = mean_of(layer_peaks(this->shape, this->current_slots, loads));
+    std::optional<layer_plan> best;
+    double best_value = threshold.min_switch_gain;
+    std::uint32_t compared_copies = std::numeric_limits<std::uint32_t>::max();
+    // From the largest budget to the smallest: a plan that needs fewer copies than the next budget makes it needless.
+    for (auto budget = copy_budgets.rbegin(); budget != copy_budgets.rend(); ++budget) {
+        if (*budget >= compared_copies) {
+            continue;
+        }
+        layer_plan candidate =
+            plan_layers(this->shape, this->current_slots, loads,
+                        {this->policy.max_new, threshold.min_gain_per_copy, threshold.acceptable_peak, *budget});
+        compared_copies = candidate.copies_per_rank;
+        const double value = this->value_of(candidate, before);
+        if (value >= best_value) {
+            best_value = value;
+            best = std::move(candidate);
+        }
+        if (compared_copies * this->policy.copy_time <= negligible_copy_time) {
+            break;
+        }
+    }
+    if (!best) {
         return std::nullopt;
     }
+    this->wanted_slots = best->slots;
+    this->wanted_peak = mean_of(layer_peaks(this->shape, best->slots, loads));
+    this->wanted_copy_time = best->copies_per_rank * this->policy.copy_time;
     this->log.info("map_planned", {{"epoch", std::to_string(this->epoch)},
                                    {"peak_before", percent_text(before)},
-                                   {"peak_after", percent_text(after)},
+                                   {"peak_after", percent_text(this->wanted_peak)},
+                                   {"copies_per_rank", std::to_string(best->copies_per_rank)},
+                                   {"load_age_ms", milliseconds_text(this->detector.age())},
+                                   {"load_life_ms", milliseconds_text(this->detector.remaining_life())},
+                                   {"overhead_ms", milliseconds_text(this->switch_overhead)},
                                    {"step_ms", std::to_string(std::lround(this->step_ms))},
                                    {"version", std::to_string(this->current_version)}});
-    return planned;
+    return std::move(best->slots);
+}
+
+double map_coordinator::value_of(const layer_plan& candidate, double peak_before) const {
+    const seconds_span life = this->detector.remaining_life();
+    const seconds_span delay = this->switch_overhead + candidate.copies_per_rank * this->policy.copy_time;
+    const double gain = peak_before - mean_of(layer_peaks(this->shape, candidate.slots, this->detector.loads()));
+    return gain * std::max((life - delay) / life, 0.0);
 }
 
 } // namespace pomelohoist
--- a/src/ranks/map_coordinator.h
+++ b/src/ranks/map_coordinator.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "balance/layer_planner.h"
+#include "balance/load_shift_detector.h"
 #include "common/log.h"
 #include "common/metrics.h"
 #include "ranks/map_switcher.h"
@@ -25,12 +27,14 @@
 };
 
 struct map_policy {
-    double window_s{1.0}; ///< averaging time of the experts' loads, in seconds
+    seconds_span window{2.0};     ///< averaging time of the experts' loads
+    seconds_span first_life{4.0}; ///< expected time between two changes of the load, until changes were seen
     /// Step time from which on `busy` applies; half of the usual target for the pauses of a stream.
     double busy_step_ms{65.0};
     switch_threshold busy{0.004, 1.06, 0.05};
     switch_threshold calm{0.02, 1.4, 0.5};
-    std::uint32_t max_new{0}; ///< experts of a layer that one plan may add to a rank
+    std::uint32_t max_new{0};    ///< experts of a layer that one plan may add to a rank
+    seconds_span copy_time{0.0}; ///< time in which a rank copies one expert
 
     friend bool operator==(const map_policy&, const map_policy&) = default;
 };
@@ -38,7 +42,7 @@
 /// Reads the expert counts of all ranks, plans a map for the current load, and switches when the plan's benefit exceeds
 /// the threshold.
 /// @attention used by one thread
-class map_coordinator {
+class map_coordinator : private switch_monitor {
   public:
     map_coordinator(rank_group& controlled_group, rank_sweep& sweeper, map_switcher& group_switcher,
                     const expert_shape& group_shape, const map_policy& tunables, const clock& time_source,
@@ -52,15 +56,21 @@
     [[nodiscard]] bool is_forming() const { return this->rounds_to_first_plan > 0; }
 
   private:
-    void update_loads();
-    void add_selections(const std::vector<std::vector<std::uint64_t>>& counts);
+    bool is_still_wanted() override;
+    /// @returns false when the counts of no rank were read twice in a row
+    bool update_loads();
+    /// Adds the selections of the ranks whose counts were read in this round and in the round before.
+    bool add_selections(const std::vector<std::vector<std::uint64_t>>& counts);
     /// @returns true when the counts suffice for a plan
     [[nodiscard]] bool has_enough_samples() const;
     void observe_step_time(const std::vector<rank_state>& states);
     /// Loads the current map from the ranks, unless it is known already.
     /// @returns false when the ranks cannot be read or do not have the same map
     bool load_slots(const std::vector<rank_state>& states);
-    [[nodiscard]] std::optional<std::vector<std::uint32_t>> plan() const;
+    /// @returns the map to switch to, or nothing when no switch is worth its costs
+    [[nodiscard]] std::optional<std::vector<std::uint32_t>> plan();
+    /// @returns expected decrease of the mean of the layers' peaks, averaged over the remaining life of the load
+    [[nodiscard]] double value_of(const layer_plan& candidate, double peak_before) const;
 
     rank_group& group;
     rank_sweep& sweep;
@@ -71,9 +81,14 @@
     structured_log& log;
     counter& switches;
     std::uint64_t epoch{0};
-    std::vector<std::vector<std::uint64_t>> last_counts; ///< expert counts that each rank reported last
-    std::vector<double> loads;                           ///< expected tokens, in the order layer, expert
+    /// Expert counts that each rank reported in the last round; empty for a rank that did not respond.
+    std::vector<std::vector<std::uint64_t>> last_counts;
+    load_shift_detector detector;
     steady_time counted_at{};
+    seconds_span switch_overhead; ///< moving average of the time from a plan to the switch, without the copies
+    std::vector<std::uint32_t> wanted_slots;     ///< map that is being prepared
+    seconds_span wanted_copy_time{0.0};          ///< time in which the ranks prepare that map
+    double wanted_peak{0.0};                     ///< mean of the layers' peaks for which that map was planned
     std::optional<steady_time> step_observed_at; ///< empty in a new epoch and after a failed read of the ranks
     std::uint64_t observed_step{0};
     std::uint32_t rounds_to_first_plan{0};
--- a/src/ranks/map_switcher.cpp
+++ b/src/ranks/map_switcher.cpp
@@ -3,6 +3,7 @@
 #include <pomelohoist/config.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace pomelohoist {
@@ -39,9 +40,8 @@
                        [](const rank_state& state) { return state.map_version == 0 && state.prepared_version == 0; });
 }
 
-/// @returns number of steps by which the target step of a switch is ahead of the current step; no coordinator of the
-/// group uses a step that is further ahead
-std::uint64_t step_lead_for(std::uint32_t ranks) {
+/// @returns largest number of steps by which any coordinator of the group schedules a switch ahead
+std::uint64_t max_lead_for(std::uint32_t ranks) {
     return config::step_lead + ranks / config::ranks_armed_in_a_step;
 }
 
@@ -56,8 +56,8 @@
 } // namespace
 
 map_switcher::map_switcher(rank_group& controlled_group, rank_sweep& sweeper, pause_source& pauses,
-                           structured_log& process_log)
-    : group(controlled_group), sweep(sweeper), pauser(pauses), log(process_log) {}
+                           const clock& time_source, structured_log& process_log)
+    : group(controlled_group), sweep(sweeper), pauser(pauses), time(time_source), log(process_log) {}
 
 void map_switcher::take_over(std::uint64_t fencing_token) {
     this->token = fencing_token;
@@ -132,8 +132,8 @@
         this->ranks_have_token = false;
     }
     if (this->is_target_unknown) {
-        // An earlier coordinator chose target steps at most step_lead_for() steps after the latest step of any rank.
-        this->last_target_step = latest_step(states) + step_lead_for(this->group.size());
+        // An earlier coordinator chose target steps at most max_lead_for() steps after the latest step of any rank.
+        this->last_target_step = latest_step(states) + max_lead_for(this->group.size());
         this->is_target_unknown = false;
     }
 }
@@ -214,7 +214,9 @@
 }
 
 map_switcher::outcome map_switcher::switch_to(const std::vector<rank_state>& states, const expert_shape& shape,
-                                              const std::vector<std::uint32_t>& slots) {
+                                              const std::vector<std::uint32_t>& slots,
+                                              std::chrono::duration<double, std::milli> step_time,
+                                              switch_monitor& monitor) {
     const std::uint64_t epoch = states.front().epoch;
     rank_command command = this->make_command(rank_command_kind::prepare, epoch, {++this->last_version, 0});
     command.layers = shape.layers;
@@ -223,13 +225,14 @@
     const std::uint64_t version = command.version;
     outcome phase_outcome = this->prepare_all(command);
     if (phase_outcome == outcome::switched) {
-        phase_outcome = this->wait_prepared(epoch, version);
+        phase_outcome = this->wait_prepared(epoch, version, monitor);
     }
     if (phase_outcome != outcome::switched) {
         this->log.info("map_switch_not_started", {{"version", std::to_string(version)}});
         return phase_outcome;
     }
-    const std::optional<std::uint64_t> step = this->hold(epoch);
+    this->log.info("map_prepared", {{"version", std::to_string(version)}});
+    const std::optional<std::uint64_t> step = this->hold(epoch, this->choose_lead(step_time));
     if (!step) {
         this->log.info("map_switch_not_started",
                        {{"version", std::to_string(version)}, {"reason", "rank 0 reported no hold"}});
@@ -253,27 +256,55 @@
     return combined;
 }
 
-map_switcher::outcome map_switcher::wait_prepared(std::uint64_t epoch, std::uint64_t version) {
-    for (std::uint32_t i = 0; i < config::prepare_checks; ++i) {
+map_switcher::outcome map_switcher::wait_prepared(std::uint64_t epoch, std::uint64_t version, switch_monitor& monitor) {
+    // Not std::vector<bool>: its elements share bytes, and several threads write them.
+    std::vector<std::uint8_t> is_prepared(this->group.size(), 0);
+    const steady_time deadline = this->time.now() + config::prepare_timeout;
+    while (this->time.now() < deadline) {
         if (!this->pauser.pause(config::prepare_check_ms)) {
             return outcome::interrupted;
         }
-        const auto states = this->read_states(epoch);
-        if (states && std::all_of(states->begin(), states->end(),
-                                  [version](const rank_state& state) { return state.prepared_version == version; })) {
+        std::atomic<bool> has_new_epoch{false};
+        this->sweep.for_each(this->group.size(), [this, epoch, version, &is_prepared, &has_new_epoch](auto rank) {
+            if (is_prepared[rank] != 0) {
+                return; // a rank keeps its prepared map until the group forms anew
+            }
+            const result<rank_state> state = this->group.rank(rank).read_state();
+            has_new_epoch = has_new_epoch || (state && state->epoch != epoch);
+            is_prepared[rank] = state && state->is_open && state->prepared_version == version ? 1 : 0;
+        });
+        if (has_new_epoch) {
+            return outcome::not_begun;
+        }
+        if (std::count(is_prepared.begin(), is_prepared.end(), 0) == 0) {
             return outcome::switched;
         }
+        if (!monitor.is_still_wanted()) {
+            return outcome::not_begun;
+        }
     }
     return outcome::not_begun;
 }
 
-std::optional<std::uint64_t> map_switcher::hold(std::uint64_t epoch) {
+std::uint64_t map_switcher::choose_lead(std::chrono::duration<double, std::milli> step_time) const {
+    const std::uint64_t limit = max_lead_for(this->group.size());
+    if (!this->arming_time || step_time.count() <= 0.0) {
+        return limit;
+    }
+    // One step is in progress, and one is a reserve for steps that are shorter than usual.
+    constexpr std::uint64_t spare_steps = 2;
+    const double steps = std::ceil(*this->arming_time / step_time);
+    return steps < static_cast<double>(limit) ? std::min(limit, spare_steps + static_cast<std::uint64_t>(steps))
+                                              : limit;
+}
+
+std::optional<std::uint64_t> map_switcher::hold(std::uint64_t epoch, std::uint64_t lead) {
     for (std::uint32_t attempt = 0; attempt < config::rank_command_attempts; ++attempt) {
         const result<rank_state> before = this->group.rank(0).read_state();
         if (!before || before->epoch != epoch) {
             return std::nullopt;
         }
-        const std::uint64_t step = before->step + step_lead_for(this->group.size());
+        const std::uint64_t step = before->step + lead;
         this->record_target_step(step);
         const command_outcome hold_outcome =
             this->send_to(0, this->make_command(rank_command_kind::hold, epoch, {0, step}));
@@ -295,6 +326,7 @@
     // Not std::vector<bool>: its elements share bytes, and several threads write them.
     std::vector<std::uint8_t> is_armed(this->group.size(), 0);
     std::atomic<bool> has_new_epoch{false};
+    const steady_time started_at = this->time.now();
     while (std::count(is_armed.begin(), is_armed.end(), 0) > 0) {
         this->sweep.for_each(this->group.size(), [this, &arm, &is_armed](std::uint32_t rank) {
             if (is_armed[rank] == 0) {
@@ -320,7 +352,10 @@
             return outcome::interrupted;
         }
     }
-    this->log.info("map_armed", {{"version", std::to_string(target.version)}, {"step", std::to_string(target.step)}});
+    this->arming_time = this->time.now() - started_at;
+    this->log.info("map_armed", {{"version", std::to_string(target.version)},
+                                 {"step", std::to_string(target.step)},
+                                 {"arming_ms", std::to_string(std::lround(this->arming_time->count()))}});
     return this->release(epoch, hold);
 }
 
--- a/src/ranks/map_switcher.h
+++ b/src/ranks/map_switcher.h
@@ -4,9 +4,11 @@
 #include "ranks/rank_engine.h"
 #include "ranks/rank_sweep.h"
 
+#include <pomelohoist/clock.h>
 #include <pomelohoist/expert_balance.h>
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -23,6 +25,15 @@
     friend bool operator==(const held_step&, const held_step&) = default;
 };
 
+/// Decides during a switch whether its map is still useful.
+class switch_monitor {
+  public:
+    virtual ~switch_monitor() = default;
+    /// Called repeatedly while the ranks prepare the map.
+    /// @returns false to abandon the switch; no rank is armed then
+    virtual bool is_still_wanted() = 0;
+};
+
 /// A switch has four phases: prepare all ranks; hold a future step at one rank; arm all ranks for that step; end the
 /// hold after every rank has reported that it is armed. A rank may execute a command seconds after the command timed
 /// out. The coordinator therefore relies on the ranks' own reports and not on responses, and retries `arm` and `go`
@@ -46,7 +57,8 @@
         count
     };
 
-    map_switcher(rank_group& controlled_group, rank_sweep& sweeper, pause_source& pauses, structured_log& process_log);
+    map_switcher(rank_group& controlled_group, rank_sweep& sweeper, pause_source& pauses, const clock& time_source,
+                 structured_log& process_log);
 
     /// Starts a term as coordinator; must be called when this process takes over a group.
     /// @param fencing_token token that this process acquired for the group
@@ -60,8 +72,10 @@
     bool recover(const std::vector<rank_state>& states);
     /// Switches all ranks to a new map.
     /// @param slots experts in the order layer, rank, slot
+    /// @param step_time duration of a step, or 0 when it is unknown
     outcome switch_to(const std::vector<rank_state>& states, const expert_shape& shape,
-                      const std::vector<std::uint32_t>& slots);
+                      const std::vector<std::uint32_t>& slots, std::chrono::duration<double, std::milli> step_time,
+                      switch_monitor& monitor);
     /// @returns true when another coordinator has taken over
     [[nodiscard]] bool is_superseded() const { return this->is_fenced; }
     /// @returns version of the last map that this process has switched to in this epoch, or 0
@@ -82,10 +96,13 @@
     /// Waits until all ranks report the prepared map.
     /// @returns `switched` as the success value (the switch itself is still to come), otherwise the reason of the
     /// failure
-    outcome wait_prepared(std::uint64_t epoch, std::uint64_t version);
+    outcome wait_prepared(std::uint64_t epoch, std::uint64_t version, switch_monitor& monitor);
+    /// @returns number of steps by which to schedule a switch ahead, so that arming ends before the target step
+    [[nodiscard]] std::uint64_t choose_lead(std::chrono::duration<double, std::milli> step_time) const;
     /// Holds a future step at rank 0.
+    /// @param lead number of steps from the current step to the held one
     /// @returns the step, or nothing when rank 0 reports no hold of it
-    std::optional<std::uint64_t> hold(std::uint64_t epoch);
+    std::optional<std::uint64_t> hold(std::uint64_t epoch, std::uint64_t lead);
     /// Arms all ranks, then ends the hold.
     outcome complete(std::uint64_t epoch, const armed_switch& target, const held_step& hold);
     /// Sends `go` until the rank reports that the hold has ended.
@@ -103,7 +120,10 @@
     rank_group& group;
     rank_sweep& sweep;
     pause_source& pauser;
+    const clock& time;
     structured_log& log;
+    /// Duration of the last arming of all ranks; empty before the first one.
+    std::optional<std::chrono::duration<double, std::milli>> arming_time;
     std::string logged_unreadable; ///< last logged rank and reason; empty while the group can be read
     std::uint64_t token{0};
     std::uint64_t known_epoch{0}; ///< epoch of the last states that were read
--- a/src/ranks/rank_daemon.cpp
+++ b/src/ranks/rank_daemon.cpp
@@ -135,7 +135,9 @@
             // Short intervals while the group forms and until its first plan: the entries are notified soon that the
             // group serves again, and streams do not stay long on the unbalanced first map.
             const bool is_forming = !own || !own->is_open || (this->coordinator && this->coordinator->is_forming());
-            wait = is_forming ? config::forming_map_interval : config::map_interval;
+            wait = is_forming          ? config::forming_map_interval
+                   : this->coordinator ? config::coordination_interval
+                                       : config::map_interval;
         }
     }
 
@@ -206,10 +208,12 @@
             }
         }
         this->group = std::move(ranks);
-        this->switcher = std::make_unique<map_switcher>(*this->group, this->sweep, *this, this->context.log);
+        this->switcher =
+            std::make_unique<map_switcher>(*this->group, this->sweep, *this, this->context.time, this->context.log);
         this->switcher->take_over(*fence);
         map_policy policy;
         policy.max_new = this->max_new;
+        policy.copy_time = this->copy_time;
         this->coordinator =
             std::make_unique<map_coordinator>(*this->group, this->sweep, *this->switcher, *shape, policy,
                                               this->context.time, this->context.log, this->context.metrics);
@@ -227,7 +231,7 @@
         this->group.reset();
     }
 
-    /// Looks up the shape of the group in the service's declaration, and sets `max_new`.
+    /// Looks up the shape of the group in the service's declaration, and sets `max_new` and `copy_time`.
     /// @returns nothing when the service is unknown or declares no experts
     std::optional<expert_shape> find_shape(std::uint32_t ranks) {
         const routing_snapshot snapshot = this->routing->current();
@@ -237,6 +241,7 @@
             return std::nullopt;
         }
         this->max_new = own->experts->max_new;
+        this->copy_time = std::chrono::microseconds{own->experts->copy_us};
         return expert_shape{ranks, own->experts->experts, own->experts->layers, own->experts->slots_per_rank};
     }
 
@@ -251,8 +256,9 @@
     std::unique_ptr<control_store> store;
     std::unique_ptr<store_watcher> watcher;
     std::optional<inner::rank_info> sent_info;
-    std::string logged_reason; ///< last logged reason; empty while the engine responds
-    std::uint32_t max_new{0};  ///< experts of a layer that one plan may add to a rank; set by `find_shape`
+    std::string logged_reason;   ///< last logged reason; empty while the engine responds
+    std::uint32_t max_new{0};    ///< experts of a layer that one plan may add to a rank; set by `find_shape`
+    seconds_span copy_time{0.0}; ///< time in which a rank copies one expert; set by `find_shape`
     parallel_sweep sweep;
     std::unique_ptr<connected_group> group;
     std::unique_ptr<map_switcher> switcher;
--- a/tests/ranks/map_switcher_test.cpp
+++ b/tests/ranks/map_switcher_test.cpp
@@ -19,6 +19,12 @@
     return text != nullptr ? std::strtoull(text, nullptr, 10) : 120;
 }
 
+/// Never abandons a switch.
+class patient_monitor : public switch_monitor {
+  public:
+    bool is_still_wanted() override { return true; }
+};
+
 map_policy test_policy() {
     map_policy policy;
     policy.max_new = 2;
@@ -36,7 +42,7 @@
 
     /// Runs a new coordinator until it is killed, is fenced off, or has run its rounds.
     void run_term(int rounds) {
-        map_switcher switcher{this->group, this->sweep, this->group, this->log};
+        map_switcher switcher{this->group, this->sweep, this->group, this->group.time(), this->log};
         switcher.take_over(++this->fence);
         map_coordinator coordinator{this->group,   this->sweep,        switcher,  small_shape,
                                     test_policy(), this->group.time(), this->log, this->metrics};
@@ -177,14 +183,45 @@
     EXPECT_GT(ended, 3U); // freezes of the host between a hold and the arming
 }
 
+// Guards against copies and steps spent on a map for a load that has gone: when the load changes while the ranks copy
+// experts, the next map is planned at once.
+TEST(map_switcher_test, a_map_for_an_earlier_load_is_abandoned_before_it_is_armed) {
+    coordinated_group deployment{group_faults{}, 9};
+    deployment.is_steady = true;
+    const auto set_busy_experts = [&deployment](std::size_t first) {
+        for (std::size_t cell = 0; cell < deployment.group.demand.size(); ++cell) {
+            const std::size_t expert = cell % small_shape.experts;
+            deployment.group.demand[cell] = expert == first || expert == first + 1 ? 2.0 : 0.1;
+        }
+    };
+    set_busy_experts(0); // both at rank 0
+    std::uint64_t switches_at_change = 0;
+    deployment.before_round = [&](int round) {
+        if (round == 0) {
+            const steady_time change_at = deployment.group.time().now() + std::chrono::milliseconds{600};
+            deployment.group.before_call = [&, change_at] {
+                if (deployment.group.time().now() >= change_at && deployment.group.demand[0] > 1.0) {
+                    switches_at_change = deployment.group.switches;
+                    EXPECT_EQ(switches_at_change, 0U);
+                    set_busy_experts(4); // both at rank 2
+                }
+            };
+        }
+    };
+    deployment.run_term(12);
+    EXPECT_EQ(deployment.group.switches, 1U); // none for the first load
+    EXPECT_EQ(deployment.group.mixed_steps, 0U);
+}
+
 // Guards against a coordinator that continues after a coordinator with a higher fencing token has taken over.
 TEST(map_switcher_test, an_older_coordinator_is_fenced_off) {
     simulated_group group{small_shape, group_faults{}, 1};
     structured_log log = make_null_log();
     sequential_sweep sweep;
-    map_switcher older{group, sweep, group, log};
+    patient_monitor monitor;
+    map_switcher older{group, sweep, group, group.time(), log};
     older.take_over(1);
-    map_switcher newer{group, sweep, group, log};
+    map_switcher newer{group, sweep, group, group.time(), log};
     newer.take_over(2);
     group.pause(5000);
     std::vector<std::uint32_t> slots(small_shape.slots(), no_expert);
@@ -196,10 +233,12 @@
     }
     const auto states = newer.read_states();
     ASSERT_TRUE(states);
-    ASSERT_EQ(newer.switch_to(*states, small_shape, slots), map_switcher::outcome::switched);
+    ASSERT_EQ(newer.switch_to(*states, small_shape, slots, std::chrono::milliseconds{50}, monitor),
+              map_switcher::outcome::switched);
     const auto seen = older.read_states();
     ASSERT_TRUE(seen);
-    EXPECT_EQ(older.switch_to(*seen, small_shape, slots), map_switcher::outcome::fenced);
+    EXPECT_EQ(older.switch_to(*seen, small_shape, slots, std::chrono::milliseconds{50}, monitor),
+              map_switcher::outcome::fenced);
 }
 
 // Guards against a sweep that omits a rank or calls it twice.
