Bound the updates that processes send each other by their number

Cause: at 245 processes, each entry receives some 1,040 load updates/s and 192 rank updates/s, each rank process 190/s from the ranks alone, and every process answers a configuration change with 244 datagrams.

Change: load updates at an interval that grows with the entries; a periodic update is left out where a load update has just been sent; rank processes of a large group send to the ranks that may succeed the coordinator, and to everyone less often; only entries pass a configuration change on. The load tracker keeps sums instead of adding up all peers for each candidate, and counts entries only (rank processes were counted too, which divided the retry budget among them). Socket addresses are parsed once.

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -130,12 +130,18 @@
 inline constexpr std::chrono::milliseconds endpoint_return_time{1300};
 inline constexpr std::chrono::milliseconds peer_update_interval{400};
 inline constexpr std::chrono::milliseconds peer_update_timeout{1300}; // three intervals
+// Load updates that an entry receives from all others; 0.01 cores. A longer interval makes entries place more requests
+// without knowing of each other's.
+inline constexpr double load_updates_per_second = 250.0;
+// Updates that a process receives from all rank processes.
+inline constexpr double rank_updates_per_second = 100.0;
 // The load that a peer reported is ignored after this time without an update.
 inline constexpr std::chrono::milliseconds peer_load_lifetime{1300};
 // A rank process uses the declarations only for the shape of its group.
 inline constexpr std::chrono::milliseconds rank_state_stale_time{10000};
 inline constexpr std::chrono::milliseconds rank_update_interval{1000};
-inline constexpr std::chrono::milliseconds rank_update_timeout{3200}; // three intervals
+inline constexpr std::int64_t missed_rank_updates = 3;             // after these, a rank process counts as unresponsive
+inline constexpr std::chrono::milliseconds rank_update_delay{200}; // of an update that is sent in time
 // While a step is held, all streams of the group wait. They may pause for 120 ms; callers abandon a stream after 2 s.
 inline constexpr std::chrono::milliseconds coordinator_update_interval{200};
 inline constexpr std::chrono::milliseconds coordinator_update_timeout{700}; // three intervals
@@ -148,6 +154,10 @@
 inline constexpr std::uint64_t ranks_armed_in_a_step = 8;
 inline constexpr std::uint32_t rank_sweep_threads = 8; // a few kilobytes of stack each, only during a sweep
 inline constexpr std::uint32_t rank_command_attempts = 5;
+// Ranks whose counts are read. A round then costs the coordinator some 60 KB for 16 layers of 192 experts.
+inline constexpr std::uint32_t counted_ranks = 16;
+// Plans of one round, when the load changes while a map is prepared.
+inline constexpr std::uint32_t consecutive_plans = 3;
 // The switch is abandoned when a rank has not prepared the map after this time.
 inline constexpr std::chrono::milliseconds prepare_timeout{5000};
 inline constexpr std::uint32_t prepare_check_ms = 50; // between two checks; one copy takes 6 to 400 ms
--- a/src/direct/load_tracker.cpp
+++ b/src/direct/load_tracker.cpp
@@ -4,6 +4,7 @@
 
 #include <pomelohoist/config.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace pomelohoist {
@@ -14,7 +15,43 @@
 
 void load_tracker::set_peer_load(const std::string& peer, const std::vector<endpoint_load>& loads) {
     const std::lock_guard lock{this->mutex};
-    this->peers[peer] = {this->time.now(), loads};
+    peer_load& known = this->peers[peer];
+    this->subtract(known.loads);
+    known = {this->time.now(), loads};
+    for (const endpoint_load& load : loads) {
+        this->peer_sums[load.endpoint] += load.active;
+    }
+    this->next_expiry = std::min(this->next_expiry, known.last_seen_at + config::peer_load_lifetime);
+}
+
+void load_tracker::subtract(const std::vector<endpoint_load>& loads) const {
+    for (const endpoint_load& load : loads) {
+        const auto sum = this->peer_sums.find(load.endpoint);
+        if (sum == this->peer_sums.end()) {
+            continue;
+        }
+        sum->second -= load.active;
+        if (sum->second == 0) {
+            this->peer_sums.erase(sum);
+        }
+    }
+}
+
+void load_tracker::remove_expired() const {
+    const steady_time now = this->time.now();
+    if (now <= this->next_expiry) {
+        return;
+    }
+    this->next_expiry = steady_time::max();
+    std::erase_if(this->peers, [this, now](const auto& each) {
+        const steady_time expiry = each.second.last_seen_at + config::peer_load_lifetime;
+        if (now > expiry) {
+            this->subtract(each.second.loads);
+            return true;
+        }
+        this->next_expiry = std::min(this->next_expiry, expiry);
+        return false;
+    });
 }
 
 std::vector<endpoint_load> load_tracker::own_loads() const {
@@ -29,29 +66,16 @@
 
 std::uint32_t load_tracker::total(endpoint_digest endpoint) const {
     const std::lock_guard lock{this->mutex};
+    this->remove_expired();
     const auto found = this->own.find(endpoint);
-    std::uint32_t sum = found != this->own.end() ? found->second : 0;
-    const steady_time oldest = this->time.now() - config::peer_load_lifetime;
-    for (const auto& [name, peer] : this->peers) {
-        // The load of an entry that has stopped or become unreachable expires, so that it does not use up capacity.
-        if (peer.last_seen_at < oldest) {
-            continue;
-        }
-        for (const endpoint_load& load : peer.loads) {
-            sum += load.endpoint == endpoint ? load.active : 0U;
-        }
-    }
-    return sum;
+    const auto sum = this->peer_sums.find(endpoint);
+    return (found != this->own.end() ? found->second : 0U) + (sum != this->peer_sums.end() ? sum->second : 0U);
 }
 
 std::uint32_t load_tracker::entries() const {
     const std::lock_guard lock{this->mutex};
-    const steady_time oldest = this->time.now() - config::peer_load_lifetime;
-    std::uint32_t number = 1;
-    for (const auto& [name, peer] : this->peers) {
-        number += peer.last_seen_at >= oldest ? 1U : 0U;
-    }
-    return number;
+    this->remove_expired();
+    return 1 + static_cast<std::uint32_t>(this->peers.size());
 }
 
 void load_tracker::begin(endpoint_digest endpoint) {
--- a/src/direct/load_tracker.h
+++ b/src/direct/load_tracker.h
@@ -54,10 +54,18 @@
         std::vector<endpoint_load> loads;
     };
 
+    /// Removes loads from `peer_sums`.
+    void subtract(const std::vector<endpoint_load>& loads) const;
+    /// Removes the loads of entries that have stopped or become unreachable, so that they do not use up capacity.
+    void remove_expired() const;
+
     const clock& time;
     mutable std::mutex mutex;
     std::unordered_map<endpoint_digest, std::uint16_t> own;
-    std::map<std::string, peer_load> peers;
+    // Sums are kept instead of calculated: each attempt to place a request asks for the load of every endpoint.
+    mutable std::unordered_map<std::string, peer_load> peers;
+    mutable std::unordered_map<endpoint_digest, std::uint32_t> peer_sums;
+    mutable steady_time next_expiry{steady_time::max()}; ///< no peer's load expires before
 };
 
 } // namespace pomelohoist
--- a/src/direct/peer_link.cpp
+++ b/src/direct/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "direct/peer_link.h"
 
+#include "direct/update_schedule.h"
 #include "inner/codec.h"
 #include "inner/frame_channel.h"
 
@@ -65,7 +66,9 @@
     const std::lock_guard lock{this->mutex};
     for (const peer_record& record : records) {
         if (record.name != this->options.own.name && !this->peers.contains(record.name)) {
-            this->peers[record.name].address = record.address;
+            peer_state& added = this->peers[record.name];
+            added.address = record.address;
+            added.socket_address = to_poco(record.address);
         }
     }
 }
@@ -93,29 +96,30 @@
     return inner::encode(update);
 }
 
-std::vector<net_address> peer_link::targets(audience recipients) const {
+std::vector<Poco::Net::SocketAddress> peer_link::targets(audience recipients) const {
     const std::lock_guard lock{this->mutex};
-    std::vector<net_address> addresses;
+    std::vector<Poco::Net::SocketAddress> addresses;
     for (const auto& [name, peer] : this->peers) {
         if (this->is_recipient(peer, recipients)) {
-            addresses.push_back(peer.address);
+            addresses.push_back(peer.socket_address);
         }
     }
     if (recipients == audience::everyone) {
         for (const net_address& seed : this->options.seeds) {
+            const Poco::Net::SocketAddress address = to_poco(seed);
             if (seed != this->options.own.address &&
-                std::find(addresses.begin(), addresses.end(), seed) == addresses.end()) {
-                addresses.push_back(seed);
+                std::find(addresses.begin(), addresses.end(), address) == addresses.end()) {
+                addresses.push_back(address);
             }
         }
     }
     return addresses;
 }
 
-void peer_link::send_to(const std::string& bytes, const std::vector<net_address>& addresses) {
-    for (const net_address& target : addresses) {
+void peer_link::send_to(const std::string& bytes, const std::vector<Poco::Net::SocketAddress>& addresses) {
+    for (const Poco::Net::SocketAddress& target : addresses) {
         try {
-            this->socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), to_poco(target));
+            this->socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), target);
         } catch (const Poco::Exception&) {
             // A failed send counts as a lost datagram; the next update follows soon.
             continue;
@@ -127,7 +131,27 @@
     this->send_to(this->encode_update(), this->targets(audience::everyone));
 }
 
+std::size_t peer_link::live_entries() const {
+    return static_cast<std::size_t>(
+               std::count_if(this->peers.begin(), this->peers.end(),
+                             [this](const auto& each) { return each.second.is_entry && this->is_live(each.second); })) +
+           (this->options.is_entry ? 1U : 0U);
+}
+
 void peer_link::send_load() {
+    {
+        const std::lock_guard lock{this->mutex};
+        const steady_time now = this->time.now();
+        if (now - this->load_sent_at < load_update_interval(this->live_entries())) {
+            if (!this->is_load_unsent) {
+                this->is_load_unsent = true;
+                this->changed.notify_all(); // the update thread sends it when the interval has passed
+            }
+            return;
+        }
+        this->load_sent_at = now;
+        this->is_load_unsent = false;
+    }
     this->send_to(this->encode_update(), this->targets(audience::live_entries));
 }
 
@@ -155,11 +179,14 @@
     switch (recipients) {
     case audience::live_entries:
         return peer.is_entry && this->is_live(peer);
+    case audience::silent_entries:
+        return (peer.is_entry || !peer.last_seen_at) && !this->is_live(peer);
     case audience::entries:
         // An unresponsive entry still receives updates: a network partition may have separated the two processes.
         return peer.is_entry || !peer.last_seen_at;
     case audience::group:
-        return peer.local_rank && this->rank && peer.local_rank->group == this->rank->group;
+        return peer.local_rank && this->rank && peer.local_rank->group == this->rank->group &&
+               (is_succession_candidate(this->rank->rank) || is_succession_candidate(peer.local_rank->rank));
     case audience::everyone:
     case audience::count:
         break;
@@ -168,11 +195,16 @@
 }
 
 bool peer_link::is_live(const peer_state& peer) const {
-    auto limit = peer.is_entry ? config::peer_update_timeout : config::rank_update_timeout;
+    std::chrono::milliseconds limit = config::peer_update_timeout;
     if (peer.local_rank && peer.local_rank->is_coordinating) {
         // A coordinator may become unresponsive while its group is held, which delays all streams of the group. The
         // coordinator then has to be replaced soon.
         limit = config::coordinator_update_timeout;
+    } else if (!peer.is_entry) {
+        const bool is_close = this->is_recipient(peer, audience::group);
+        limit = config::missed_rank_updates *
+                    (is_close ? config::rank_update_interval : rank_update_interval(this->peers.size())) +
+                config::rank_update_delay;
     }
     return peer.last_seen_at && this->time.now() - *peer.last_seen_at <= limit;
 }
@@ -215,20 +247,53 @@
     // Entries send each other updates often, since they place requests by each other's load. A process that manages a
     // rank receives updates from entries when something changes, and sends its own updates so that the other
     // processes know its address.
-    if (this->options.is_entry) {
-        const bool has_routing = this->state.current().routing != nullptr;
-        this->send_to(this->encode_update(), this->targets(has_routing ? audience::entries : audience::everyone));
-        return config::peer_update_interval;
+    return this->options.is_entry ? this->send_due_entry_updates() : this->send_due_rank_updates();
+}
+
+std::chrono::milliseconds peer_link::send_due_entry_updates() {
+    const steady_time now = this->time.now();
+    std::optional<audience> recipients;
+    steady_time next = now;
+    {
+        const std::lock_guard lock{this->mutex};
+        const std::chrono::milliseconds load_interval = load_update_interval(this->live_entries());
+        if (now - this->periodic_sent_at >= config::peer_update_interval) {
+            const bool has_routing = this->state.current().routing != nullptr;
+            // A load update contains all that a periodic update does.
+            const bool is_load_recent =
+                now - this->load_sent_at < config::peer_update_interval && !this->is_load_unsent;
+            recipients = !has_routing     ? audience::everyone
+                         : is_load_recent ? audience::silent_entries
+                                          : audience::entries;
+            this->periodic_sent_at = now;
+        } else if (this->is_load_unsent && now - this->load_sent_at >= load_interval) {
+            recipients = audience::live_entries;
+        }
+        if (recipients && *recipients != audience::silent_entries) {
+            this->load_sent_at = now;
+            this->is_load_unsent = false;
+        }
+        next = this->periodic_sent_at + config::peer_update_interval;
+        next = this->is_load_unsent ? std::min(next, this->load_sent_at + load_interval) : next;
     }
+    if (recipients) {
+        this->send_to(this->encode_update(), this->targets(*recipients));
+    }
+    return std::max(std::chrono::ceil<std::chrono::milliseconds>(next - now), std::chrono::milliseconds{1});
+}
+
+std::chrono::milliseconds peer_link::send_due_rank_updates() {
     bool is_coordinating = false;
+    std::chrono::milliseconds interval{};
     {
         const std::lock_guard lock{this->mutex};
         is_coordinating = this->rank && this->rank->is_coordinating;
+        interval = rank_update_interval(this->peers.size());
     }
     const steady_time now = this->time.now();
-    const bool is_everyone_due = now - this->everyone_updated_at >= config::rank_update_interval;
+    const bool is_everyone_due = now - this->periodic_sent_at >= interval;
     if (is_everyone_due) {
-        this->everyone_updated_at = now;
+        this->periodic_sent_at = now;
     }
     this->send_to(this->encode_update(), this->targets(is_everyone_due ? audience::everyone : audience::group));
     return is_coordinating ? config::coordinator_update_interval : config::rank_update_interval;
@@ -270,9 +335,12 @@
             peer.sequence - update.sequence < config::peer_sequence_window) {
             return;
         }
-        peer = {from, update.is_entry, update.sequence, this->time.now(), update.local_rank};
+        const Poco::Net::SocketAddress socket_address = peer.address == from ? peer.socket_address : to_poco(from);
+        peer = {from, socket_address, update.is_entry, update.sequence, this->time.now(), update.local_rank};
+    }
+    if (update.is_entry) {
+        this->tracker.set_peer_load(update.sender, update.loads);
     }
-    this->tracker.set_peer_load(update.sender, update.loads);
     const routing_snapshot snapshot = this->state.current();
     const std::uint64_t routing = snapshot.routing ? snapshot.routing->version() : 0;
     const std::uint64_t endpoints = snapshot.endpoints ? snapshot.endpoints->revision : 0;
@@ -332,7 +400,8 @@
     if (response->endpoints) {
         is_new = this->state.apply_endpoints(std::move(*response->endpoints)) || is_new;
     }
-    if (is_new) {
+    // The entries tell everyone, so the many processes beside ranks need not.
+    if (is_new && this->options.is_entry) {
         this->send_update();
     }
 }
--- a/src/direct/peer_link.h
+++ b/src/direct/peer_link.h
@@ -11,6 +11,7 @@
 #include <pomelohoist/types.h>
 
 #include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/SocketAddress.h>
 
 #include <atomic>
 #include <condition_variable>
@@ -64,7 +65,8 @@
     void set_seeds(std::vector<net_address> addresses);
     /// Sends an update to all peers immediately.
     void send_update();
-    /// Sends an update to the live entries immediately; called when this entry's load has changed.
+    /// Sends an update to the live entries, at once or when `load_update_interval` has passed since the last one;
+    /// called when this entry's load has changed.
     void send_load();
     /// Sets the rank that this process manages; each update contains this rank.
     void set_rank(const std::optional<inner::rank_info>& own_rank);
@@ -78,10 +80,11 @@
     [[nodiscard]] std::uint32_t rank_among_live() const;
 
   private:
-    enum class audience : std::uint8_t { live_entries, entries, group, everyone, count };
+    enum class audience : std::uint8_t { live_entries, silent_entries, entries, group, everyone, count };
 
     struct peer_state {
         net_address address;
+        Poco::Net::SocketAddress socket_address; ///< the same address; parsing it for each datagram is slow
         bool is_entry{false};
         std::uint64_t sequence{0};
         std::optional<steady_time> last_seen_at;
@@ -96,13 +99,17 @@
     void request_pull(const net_address& from);
     void pull_from(const net_address& from);
     [[nodiscard]] std::string encode_update();
-    void send_to(const std::string& bytes, const std::vector<net_address>& addresses);
-    [[nodiscard]] std::vector<net_address> targets(audience recipients) const;
+    void send_to(const std::string& bytes, const std::vector<Poco::Net::SocketAddress>& addresses);
+    [[nodiscard]] std::vector<Poco::Net::SocketAddress> targets(audience recipients) const;
+    /// @returns number of live entries, including this process if it is one; requires the mutex
+    [[nodiscard]] std::size_t live_entries() const;
     [[nodiscard]] bool is_live(const peer_state& peer) const;
     [[nodiscard]] bool is_recipient(const peer_state& peer, audience recipients) const;
     /// Sends the periodic updates that are due.
     /// @returns time until the next updates are due
     std::chrono::milliseconds send_due_updates();
+    std::chrono::milliseconds send_due_entry_updates();
+    std::chrono::milliseconds send_due_rank_updates();
 
     peer_link_options options;
     routing_state& state;
@@ -120,7 +127,9 @@
     std::map<std::string, peer_state> peers;
     std::deque<net_address> pulls;
     std::optional<inner::rank_info> rank;
-    steady_time everyone_updated_at{}; ///< last update to everyone; used by the update thread only
+    steady_time periodic_sent_at{}; ///< last periodic update to everyone or all entries; used by the update thread only
+    steady_time load_sent_at{};     ///< last update to the live entries
+    bool is_load_unsent{false};     ///< the load has changed since `load_sent_at`
     std::vector<std::thread> threads;
 };
 
