Bound responses without end in bytes, not only in time

Cause: a faulty endpoint may send bytes without end.

Change: limits for stray responses, events, trailers and interim heads; all buffered responses of a process share 16 MB, beside 64 KB for each. The caller gets 502 at once and the endpoint goes into cooldown.

Ruled out as faults: head, chunk size line and extension, bodies with and without a length of a single response were bounded before.

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -188,7 +188,16 @@
 inline constexpr std::chrono::milliseconds idle_connection_default{1500}; // for endpoints that state no idle timeout
 inline constexpr std::size_t max_idle_connections = 4;                    // per endpoint
 inline constexpr std::size_t max_response_head_bytes = 32U << 10U;        // 32 KB
-inline constexpr std::uint32_t max_caller_threads = 700;                  // each serves one connection
+inline constexpr std::uint32_t max_interim_responses = 8;                 // (1xx) before a response
+inline constexpr std::size_t max_trailer_bytes = 16U << 10U;              // 16 KB
+inline constexpr std::size_t max_event_bytes = 256U << 10U;               // 256 KB
+// Of a late response to an earlier request, which is read and dropped.
+inline constexpr std::size_t max_stray_response_bytes = 1U << 20U; // 1 MB
+// All responses that a process buffers may together exceed this part of each by `response_buffer_bytes`. The smallest
+// host has 112 MB.
+inline constexpr std::size_t unreserved_response_bytes = 64U << 10U; // 64 KB
+inline constexpr std::size_t response_buffer_bytes = 16U << 20U;     // 16 MB
+inline constexpr std::uint32_t max_caller_threads = 700;             // each serves one connection
 inline constexpr int caller_thread_stack_bytes = 128 * 1024;
 inline constexpr std::chrono::milliseconds caller_keep_alive{60000}; // longer than callers keep idle connections
 inline constexpr std::chrono::milliseconds caller_read_timeout{3000};
--- a/src/direct/chunk_decoder.cpp
+++ b/src/direct/chunk_decoder.cpp
@@ -1,5 +1,7 @@
 #include "direct/chunk_decoder.h"
 
+#include <pomelohoist/config.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -48,8 +50,11 @@
         return true;
     }
     // Trailer fields are dropped; an empty line ends them.
+    this->trailer_bytes += line.size();
     if (line.empty()) {
         this->current = state::done;
+    } else if (this->trailer_bytes > config::max_trailer_bytes) {
+        this->current = state::malformed;
     }
     return true;
 }
--- a/src/direct/chunk_decoder.h
+++ b/src/direct/chunk_decoder.h
@@ -26,6 +26,7 @@
     bool read_size(const std::string& line);
 
     state current{state::size};
+    std::size_t trailer_bytes{0};
     std::uint64_t remaining{0}; ///< bytes of the current chunk that are not decoded yet
 };
 
--- a/src/direct/direct_daemon.cpp
+++ b/src/direct/direct_daemon.cpp
@@ -31,8 +31,9 @@
           link({own, true, platform.seeds(checked)}, state, tracker, nullptr, context.time, context.log),
           watcher(*store, own, true, state, link, context.time, context.log, context.metrics), cooldowns(context.time),
           budget(read_retry_limits(checked), context.time), connections(context.time),
+          buffers(config::response_buffer_bytes),
           admission(state, tracker, link, cooldowns, context.random, context.time),
-          forwarding{platform.headers(), admission,    connections, cooldowns,      budget, tracker,
+          forwarding{platform.headers(), admission,    connections, cooldowns,      budget, buffers, tracker,
                      context.random,     context.time, context.log, context.metrics},
           service(forwarding, state), server(checked.address("http.address"), service, state, context.time) {}
 
@@ -45,6 +46,7 @@
     cooldown_tracker cooldowns;
     shared_retry_budget budget;
     connection_pool connections;
+    buffer_budget buffers;
     admission_queue admission;
     forwarding_parts forwarding;
     direct_service service;
--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -211,10 +211,15 @@
         }
         // This is a late response to an earlier request on the connection. Its body is skipped; the response to the
         // current request follows.
-        std::string skipped;
+        std::size_t skipped_bytes = 0;
         exchange_state state = exchange_state::ready;
         while (state == exchange_state::ready) {
+            std::string skipped;
             state = this->connection->read_body(skipped, until, this->caller);
+            skipped_bytes += skipped.size();
+            if (skipped_bytes > config::max_stray_response_bytes) {
+                state = exchange_state::broken;
+            }
         }
         if (state != exchange_state::complete || this->connection->is_unframed()) {
             return this->classify_exchange(state == exchange_state::complete ? exchange_state::broken : state,
@@ -227,12 +232,15 @@
 direct_forwarder::attempt_end direct_forwarder::forward_full_response(const endpoint_response& response,
                                                                       steady_time until) {
     std::string body;
+    buffer_reservation reservation{this->parts.buffers};
     exchange_state state = exchange_state::ready;
-    while (state == exchange_state::ready && body.size() <= config::max_response_bytes) {
+    while (state == exchange_state::ready) {
         state = this->connection->read_body(body, until, this->caller);
+        if (!reservation.grow_to(body.size())) {
+            state = exchange_state::broken;
+        }
     }
-    const attempt_end end =
-        this->classify_exchange(state == exchange_state::ready ? exchange_state::broken : state, "in the body");
+    const attempt_end end = this->classify_exchange(state, "in the body");
     if (end != attempt_end::responded) {
         return end;
     }
@@ -285,7 +293,7 @@
         const exchange_state state = this->connection->read_body(piece, this->request.deadline, this->caller);
         const std::optional<std::string> complete_events = this->events.extract_events(piece);
         if (!complete_events) {
-            this->outcome.reason = "an event came out of order";
+            this->outcome.reason = "an event came out of order or was too long";
             return attempt_end::failed;
         }
         if (!this->forward_events(response, *complete_events)) {
--- a/src/direct/direct_forwarder.h
+++ b/src/direct/direct_forwarder.h
@@ -4,6 +4,7 @@
 #include "common/metrics.h"
 #include "common/random_source.h"
 #include "direct/admission_queue.h"
+#include "direct/buffer_budget.h"
 #include "direct/connection_pool.h"
 #include "direct/cooldown_tracker.h"
 #include "direct/direct_request.h"
@@ -30,6 +31,7 @@
     connection_pool& connections;
     cooldown_tracker& cooldowns;
     shared_retry_budget& budget;
+    buffer_budget& buffers;
     load_tracker& tracker;
     random_source& random;
     const clock& time;
--- a/src/direct/endpoint_connection.cpp
+++ b/src/direct/endpoint_connection.cpp
@@ -120,6 +120,7 @@
 
 exchange_state endpoint_connection::read_head(bool is_head_request, steady_time until,
                                               caller_connection_monitor& caller, endpoint_response& response) {
+    std::uint32_t interim_responses = 0;
     while (true) {
         const std::size_t end = this->received.find("\r\n\r\n");
         if (end != std::string::npos) {
@@ -127,6 +128,9 @@
             if (parse_state != exchange_state::ready || response.status >= first_final_status) {
                 return parse_state;
             }
+            if (++interim_responses > config::max_interim_responses) {
+                return exchange_state::broken;
+            }
             continue; // skips an interim (1xx) response
         }
         if (this->has_ended || this->received.size() > config::max_response_head_bytes) {
--- a/src/direct/event_tracker.cpp
+++ b/src/direct/event_tracker.cpp
@@ -2,6 +2,8 @@
 
 #include "entry/stream_event.h"
 
+#include <pomelohoist/config.h>
+
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
 
@@ -49,6 +51,9 @@
         ++this->number;
         events += *event;
     }
+    if (this->buffer.size() > config::max_event_bytes) {
+        return std::nullopt;
+    }
     return events;
 }
 
--- a/src/direct/event_tracker.h
+++ b/src/direct/event_tracker.h
@@ -18,7 +18,7 @@
     explicit event_tracker(std::string resume_after) : last(std::move(resume_after)) {}
 
     /// Appends bytes to the buffer and removes the complete events from it.
-    /// @returns the events to forward, possibly none, or nothing when an event is out of order
+    /// @returns the events to forward, possibly none, or nothing when an event is out of order or too long
     std::optional<std::string> extract_events(const std::string& bytes);
     /// @returns the bytes after the last complete event
     [[nodiscard]] const std::string& incomplete_event() const { return this->buffer; }
--- a/tests/support/scripted_endpoint.cpp
+++ b/tests/support/scripted_endpoint.cpp
@@ -128,6 +128,10 @@
         sent += static_cast<std::size_t>(
             socket.sendBytes(response.bytes.data() + sent, static_cast<int>(response.bytes.size() - sent)));
     }
+    while (!response.endless.empty() && !this->stopping) { // ends with an exception when the client disconnects
+        this->endless_sent += static_cast<std::size_t>(
+            socket.sendBytes(response.endless.data(), static_cast<int>(response.endless.size())));
+    }
     while (response.hangs && !this->stopping) {
         if (socket.poll(Poco::Timespan{0, poll_us}, Poco::Net::Socket::SELECT_READ) && socket.available() == 0) {
             this->caller_disconnected = true;
--- a/tests/support/scripted_endpoint.h
+++ b/tests/support/scripted_endpoint.h
@@ -24,6 +24,7 @@
     bool closes{false};                 ///< closes the connection without a reset after the bytes
     bool resets{false};                 ///< resets the connection after the bytes
     bool hangs{false};                  ///< sends nothing more and waits until the client disconnects
+    std::string endless{};              ///< sent again and again after the bytes, until the client disconnects
 
     friend bool operator==(const scripted_response&, const scripted_response&) = default;
 };
@@ -42,6 +43,8 @@
     [[nodiscard]] net_address address() const;
     [[nodiscard]] std::vector<std::string> requests() const;
     [[nodiscard]] std::size_t connections() const { return this->accepted; }
+    /// @returns bytes of `endless` that clients have taken, including those in the kernel's buffers
+    [[nodiscard]] std::size_t endless_bytes() const { return this->endless_sent; }
     /// @returns true once a client has disconnected while a response was hanging, or has reset its connection
     [[nodiscard]] bool saw_caller_disconnect() const { return this->caller_disconnected; }
 
@@ -55,6 +58,7 @@
     std::atomic<bool> stopping{false};
     std::atomic<bool> caller_disconnected{false};
     std::atomic<std::size_t> accepted{0};
+    std::atomic<std::size_t> endless_sent{0};
     mutable std::mutex mutex;
     std::vector<std::string> received_requests;
     std::vector<std::thread> threads;
