Count a new coordinator as live from its start

The others expect an update of a coordinator every 200 ms, but its update thread slept until its next periodic update, up to 1 s. The same thread did not wake for a load that waited for its interval.

Change: both wake the update thread.

Ruled out: the limit of 0.7 s itself (a coordinator that is silent while its group is held must be replaced soon).

Test: spread_test.a_new_coordinator_counts_as_live_from_the_start fails before. The test of the load passes before too, with two entries.

--- a/src/direct/peer_link.cpp
+++ b/src/direct/peer_link.cpp
@@ -145,7 +145,8 @@
         if (now - this->load_sent_at < load_update_interval(this->live_entries())) {
             if (!this->is_load_unsent) {
                 this->is_load_unsent = true;
-                this->changed.notify_all(); // the update thread sends it when the interval has passed
+                this->is_update_due = true; // the update thread sends it when the interval has passed
+                this->changed.notify_all();
             }
             return;
         }
@@ -212,6 +213,9 @@
 void peer_link::set_rank(const std::optional<inner::rank_info>& own_rank) {
     const std::lock_guard lock{this->mutex};
     this->rank = own_rank;
+    // A coordinator sends updates more often, and the others expect them at once.
+    this->is_update_due = true;
+    this->changed.notify_all();
 }
 
 std::vector<group_peer> peer_link::group_peers(const std::string& group) const {
@@ -239,7 +243,8 @@
     while (!this->stopping) {
         const std::chrono::milliseconds wait = this->send_due_updates();
         std::unique_lock lock{this->mutex};
-        this->changed.wait_for(lock, wait, [this] { return this->stopping.load(); });
+        this->changed.wait_for(lock, wait, [this] { return this->stopping.load() || this->is_update_due; });
+        this->is_update_due = false;
     }
 }
 
--- a/src/direct/peer_link.h
+++ b/src/direct/peer_link.h
@@ -130,6 +130,7 @@
     steady_time periodic_sent_at{}; ///< last periodic update to everyone or all entries; used by the update thread only
     steady_time load_sent_at{};     ///< last update to the live entries
     bool is_load_unsent{false};     ///< the load has changed since `load_sent_at`
+    bool is_update_due{false};      ///< wakes the update thread before its next periodic update
     std::vector<std::thread> threads;
 };
 
--- a/tests/direct/spread_test.cpp
+++ b/tests/direct/spread_test.cpp
@@ -269,6 +269,63 @@
     EXPECT_TRUE(eventually([&] { return second.tracker.total(endpoint) == 1; }));
 }
 
+// Guards against a second coordinator that takes a group over although the first one is alive: a process that has
+// become coordinator must send its frequent updates from then on, not from its next periodic update on.
+TEST(spread_test, a_new_coordinator_counts_as_live_from_the_start) {
+    fake_store store;
+    node entry{"entry-1", store};
+    node first{"rank-0", store, false, {entry.own.address}};
+    node second{"rank-1", store, false, {entry.own.address, first.own.address}};
+    inner::rank_info info{"g", 0, {"10.0.0.1", 80}, true, false};
+    first.link.set_rank(info);
+    second.link.set_rank(inner::rank_info{"g", 1, {"10.0.0.2", 80}, true, false});
+    entry.start();
+    first.start();
+    second.start();
+    const auto is_first_live = [&second] {
+        const std::vector<group_peer> peers = second.link.group_peers("g");
+        return !peers.empty() && peers.front().is_live;
+    };
+    for (int i = 0; i < 4; ++i) {
+        info.is_coordinating = false;
+        first.link.set_rank(info);
+        first.link.send_update();
+        std::this_thread::sleep_for(config::rank_update_interval + i * 250ms); // at any point of the periodic updates
+        ASSERT_TRUE(eventually(is_first_live));
+        info.is_coordinating = true;
+        first.link.set_rank(info);
+        first.link.send_update();
+        const auto began = std::chrono::steady_clock::now();
+        while (std::chrono::steady_clock::now() - began < config::rank_update_interval) {
+            ASSERT_TRUE(is_first_live()) << "try " << i;
+            std::this_thread::sleep_for(10ms);
+        }
+    }
+}
+
+// Guards against a load that other entries learn only with the periodic update.
+TEST(spread_test, a_load_that_changes_often_is_sent_before_the_periodic_update) {
+    fake_store store;
+    node first{"entry-1", store};
+    node second{"entry-2", store, true, {first.own.address}};
+    first.start();
+    second.start();
+    ASSERT_TRUE(eventually([&] { return second.tracker.entries() == 2 && first.tracker.entries() == 2; }));
+    std::chrono::steady_clock::duration total{};
+    constexpr int tries = 8;
+    for (int i = 0; i < tries; ++i) {
+        const endpoint_digest endpoint = digest_of_instance("a" + std::to_string(i));
+        first.link.send_load(); // the next one comes within the interval
+        first.tracker.begin(endpoint);
+        const auto began = std::chrono::steady_clock::now();
+        first.link.send_load();
+        ASSERT_TRUE(eventually([&] { return second.tracker.total(endpoint) == 1; }));
+        total += std::chrono::steady_clock::now() - began;
+        std::this_thread::sleep_for(30ms);
+    }
+    EXPECT_LT(total / tries, config::peer_update_interval / 4);
+}
+
 // Guards against several processes that read the store: only one reads it while the others receive its updates.
 TEST(spread_test, only_the_first_entry_reads) {
     fake_store store;
