--- a/tests/balance/load_shift_detector_test.cpp
+++ b/tests/balance/load_shift_detector_test.cpp
@@ -49,7 +49,7 @@
     [[nodiscard]] double error_of(const std::vector<double>& estimate) const {
         double error = 0.0;
         for (std::uint32_t layer = 0; layer < test_shape.layers; ++layer) {
-            const auto first = estimate.begin() + static_cast<std::ptrdiff_t>(layer * test_shape.experts);
+            const auto first = estimate.begin() + static_cast<std::ptrdiff_t>(layer) * test_shape.experts;
             const double total = std::accumulate(first, first + test_shape.experts, 0.0);
             for (std::uint32_t expert = 0; expert < test_shape.experts; ++expert) {
                 const double expected = this->weights[layer * test_shape.experts + expert] / this->layer_weight();
@@ -64,7 +64,7 @@
         return std::accumulate(this->weights.begin(), this->weights.begin() + test_shape.experts, 0.0);
     }
     void shuffle(std::uint32_t layer) {
-        const auto first = this->weights.begin() + static_cast<std::ptrdiff_t>(layer * test_shape.experts);
+        const auto first = this->weights.begin() + static_cast<std::ptrdiff_t>(layer) * test_shape.experts;
         std::shuffle(first, first + test_shape.experts, this->random);
     }
 
--- a/tests/ranks/rank_delta_test.cpp
+++ b/tests/ranks/rank_delta_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -54,7 +55,7 @@
 
 // Guards against rounds that fill the link of a coordinator: 16 layers of 192 experts, some selections each.
 TEST(rank_delta_test, a_difference_is_small) {
-    std::vector<std::uint64_t> base(16 * 192, 5'000'000'000);
+    std::vector<std::uint64_t> base(std::size_t{16} * 192, 5'000'000'000);
     std::vector<std::uint64_t> counts = base;
     for (std::size_t i = 0; i < counts.size(); ++i) {
         counts[i] += i % 100;
