Reject a head with the fields of two responses

Cause: a second copy of an earlier response, cut off between its signature and its id, may stand before the next response on a kept connection. Its lines and those of the next head then parse as one head with the right id, and the next caller got the other response's signature beside its own.

Change: a response with two ids or two signatures counts as broken.

Ruled out: copies cut off elsewhere, and whole ones (dropped by their id).

--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -205,6 +205,10 @@
         if (end != attempt_end::responded) {
             return end;
         }
+        // The end of a head that was cut off may stand before this head. Fields of both then look like one head.
+        if (response.repeats(this->parts.names.request_id) || response.repeats(this->parts.names.signature)) {
+            return this->classify_exchange(exchange_state::broken, "a head with the fields of two responses");
+        }
         const std::optional<std::string> response_id = response.header(this->parts.names.request_id);
         if (!response_id || *response_id == this->request.request_id) {
             return attempt_end::responded;
--- a/src/direct/endpoint_connection.cpp
+++ b/src/direct/endpoint_connection.cpp
@@ -48,6 +48,11 @@
     return found != this->headers.end() ? std::optional{found->value} : std::nullopt;
 }
 
+bool endpoint_response::repeats(const std::string& name) const {
+    return std::count_if(this->headers.begin(), this->headers.end(),
+                         [&name](const auto& field) { return Poco::icompare(field.name, name) == 0; }) > 1;
+}
+
 result<std::unique_ptr<endpoint_connection>>
 endpoint_connection::open(const net_address& target, std::chrono::milliseconds timeout, const clock& time_source) {
     try {
--- a/src/direct/endpoint_connection.h
+++ b/src/direct/endpoint_connection.h
@@ -36,6 +36,8 @@
 
     /// @returns the value of the first field with that name, ignoring case, or nothing
     [[nodiscard]] std::optional<std::string> header(const std::string& name) const;
+    /// @returns true when the response has the field more than once
+    [[nodiscard]] bool repeats(const std::string& name) const;
     friend bool operator==(const endpoint_response&, const endpoint_response&) = default;
 };
 
