--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -130,8 +130,8 @@
 inline constexpr std::chrono::milliseconds endpoint_return_time{1300};
 inline constexpr std::chrono::milliseconds peer_update_interval{400};
 inline constexpr std::chrono::milliseconds peer_update_timeout{1300}; // three intervals
-// Load updates that an entry receives from all others; 0.01 cores. A longer interval makes entries place more requests
-// without knowing of each other's.
+// Load updates that an entry receives from all others. With fewer updates, entries place more requests without knowing
+// of each other's.
 inline constexpr double load_updates_per_second = 250.0;
 // Updates that a process receives from all rank processes.
 inline constexpr double rank_updates_per_second = 100.0;
--- a/src/ranks/rank_daemon.cpp
+++ b/src/ranks/rank_daemon.cpp
@@ -133,15 +133,19 @@
             } else {
                 this->on_engine_unreachable(own ? "no group" : own.last_error().reason);
             }
-            // Short intervals while the group forms and until its first plan: the entries are notified soon that the
-            // group serves again, and streams do not stay long on the unbalanced first map.
-            const bool is_forming = !own || !own->is_open || (this->coordinator && this->coordinator->is_forming());
-            wait = is_forming          ? config::forming_map_interval
-                   : this->coordinator ? config::coordination_interval
-                                       : config::map_interval;
+            wait = this->round_interval(own);
         }
     }
 
+    [[nodiscard]] std::chrono::milliseconds round_interval(const result<rank_state>& own) const {
+        // Short intervals while the group forms and until its first plan: the entries are notified soon that the group
+        // serves again, and streams do not stay long on the unbalanced first map.
+        if (!own || !own->is_open || (this->coordinator && this->coordinator->is_forming())) {
+            return config::forming_map_interval;
+        }
+        return this->coordinator ? config::coordination_interval : config::map_interval;
+    }
+
     void coordinate(const rank_state& own) {
         const std::vector<group_peer> peers = this->link->group_peers(own.group);
         const bool is_lowest_rank = std::none_of(
