--- a/review/support/case_run.cpp
+++ b/review/support/case_run.cpp
@@ -142,21 +142,21 @@
     added->name = "front-" + std::to_string(this->entries.size() + 1);
     added->front = free_address(added->ip);
     added->ready = free_address(added->ip);
-    const std::filesystem::path settings = this->folder / (added->name + ".ini");
-    std::ofstream{settings} << fill_template(entry_template, {{"node", added->name},
-                                                              {"zone", "zone-a"},
-                                                              {"bounds.grace_s", "8"},
-                                                              {"listen.front", added->front.text()},
-                                                              {"listen.ready", added->ready.text()},
-                                                              {"ip", added->ip},
-                                                              {"port_range.0", std::to_string(this->inner_port)},
-                                                              {"bounds.retry_ratio", "0.2"},
-                                                              {"bounds.retry_slack", "188"},
-                                                              {"bounds.retry_window_s", "10"},
-                                                              {"platform.address", store_address.text()},
-                                                              {"seeds", added->ip + ":8229"}});
-    added->process = std::make_unique<child_process>(entry_program, settings, this->folder / (added->name + ".log"));
+    added->settings = this->folder / (added->name + ".ini");
+    std::ofstream{added->settings} << fill_template(entry_template, {{"node", added->name},
+                                                                     {"zone", "zone-a"},
+                                                                     {"bounds.grace_s", "8"},
+                                                                     {"listen.front", added->front.text()},
+                                                                     {"listen.ready", added->ready.text()},
+                                                                     {"ip", added->ip},
+                                                                     {"port_range.0", std::to_string(this->inner_port)},
+                                                                     {"bounds.retry_ratio", "0.2"},
+                                                                     {"bounds.retry_slack", "188"},
+                                                                     {"bounds.retry_window_s", "10"},
+                                                                     {"platform.address", store_address.text()},
+                                                                     {"seeds", added->ip + ":8229"}});
     this->entries.push_back(std::move(added));
+    this->restart(*this->entries.back());
     return *this->entries.back();
 }
 
@@ -185,6 +185,12 @@
         std::make_unique<child_process>(rank_program, stopped.settings, this->folder / (stopped.name + ".log"));
 }
 
+void deployment::restart(entry_process& stopped) {
+    stopped.process.reset();
+    stopped.process =
+        std::make_unique<child_process>(entry_program, stopped.settings, this->folder / (stopped.name + ".log"));
+}
+
 bool deployment::wait_ready(std::chrono::milliseconds timeout) {
     return wait_until(
         [this] {
--- a/review/support/case_run.h
+++ b/review/support/case_run.h
@@ -82,6 +82,7 @@
         std::string ip;
         address front;
         address ready;
+        std::filesystem::path settings;
         std::unique_ptr<child_process> process;
     };
     struct rank_process {
@@ -96,6 +97,7 @@
     entry_process& start_entry(const address& store_address);
     rank_process& start_rank(const address& engine, const std::string& service);
     void restart(rank_process& stopped);
+    void restart(entry_process& stopped);
     /// @returns true when the readiness page of each entry answers 200 in time
     bool wait_ready(std::chrono::milliseconds timeout);
     /// Ends all processes and this program; the threads of the stand-ins may still run.
