--- a/review/support/app_server.cpp
+++ b/review/support/app_server.cpp
@@ -18,7 +18,7 @@
         this->all.push_back(run);
     }
     this->record.add("run      " + run.request_id + " at " + run.server + ": " + run.start_line + ", body of " +
-                     std::to_string(run.body.size()) + " bytes");
+                     std::to_string(run.body_bytes) + " bytes");
 }
 
 std::vector<server_run> run_log::runs() const {
@@ -62,7 +62,8 @@
             }
             continue;
         }
-        this->log.add({this->id, request->field("X-Pomelohoist-Attempt-Id"), request->start_line, request->body});
+        this->log.add({this->id, request->field("X-Pomelohoist-Attempt-Id"), request->start_line,
+                       request->body.substr(0, kept_body_bytes), request->body.size()});
         std::this_thread::sleep_for(this->options.work);
         this->wait_while_dark();
         if (!caller.send_all(this->answer_to(*request))) {
--- a/review/support/app_server.h
+++ b/review/support/app_server.h
@@ -14,12 +14,15 @@
 /// Stand-in for a server of an application service.
 namespace review {
 
+constexpr std::size_t kept_body_bytes = 65536;
+
 /// A request that a server has begun to run.
 struct server_run {
     std::string server;
     std::string request_id;
     std::string start_line;
-    std::string body;
+    std::string body; ///< its first `kept_body_bytes`
+    std::size_t body_bytes{0};
 
     friend bool operator==(const server_run&, const server_run&) = default;
 };
