Cases: started processes end with their case

Cause: a case that was aborted left its processes and its temporary folder behind. Change: started processes get SIGKILL when the case ends; run.sh removes its temporary folder.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,6 +3,9 @@
 cd "$(dirname "$0")/../.." || exit 2
 case_program=target/review/case-4
 [ -x "$case_program" ] && [ -x target/bin/pomelohoist-platform-entry ] || exit 2
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+trap 'rm -rf "$TMPDIR"' EXIT
 timeout -k 5 110 "$case_program" review/4
 status=$?
 [ "$status" -le 2 ] || status=2
--- a/review/support/case_run.cpp
+++ b/review/support/case_run.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -57,6 +58,8 @@
                              const std::filesystem::path& output) {
     this->pid = ::fork();
     if (this->pid == 0) {
+        // The process ends with the case, also when that is killed.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int log = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(log, STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
