--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,183 +1,129 @@
+#include "../support/app_server.h"
 #include "../support/case_run.h"
 
-#include <nlohmann/json.hpp>
-
+#include <algorithm>
 #include <atomic>
-#include <csignal>
 #include <exception>
 #include <iostream>
+#include <mutex>
 #include <thread>
-#include <utility>
 
-/// Model servers that answer now and then with bytes without end.
+/// Large requests while one of six servers is dark for some seconds, three times.
 namespace review {
 namespace {
 
 using namespace std::chrono_literals;
-using nlohmann::json;
 
-constexpr int rank_count = 4;
-constexpr int affected_ranks = 2;
-constexpr int endless_answers = 3; // of each affected server
-constexpr auto endless_interval = 10s;
-constexpr long memory_limit_kb = 128L * 1024; // of a machine beside a model server
-constexpr std::size_t piece_bytes = 65536;
-constexpr auto piece_interval = 1ms;
-constexpr auto restart_delay = 500ms;
-constexpr auto run_time = 40s;
-constexpr auto idle_time = 30s;
+constexpr int entry_count = 3;
+constexpr int server_count = 6;
+constexpr int requests_in_round = 24;
+constexpr int rounds = 3;
+constexpr std::size_t body_bytes = 4000000; // the configuration allows 4194304
+constexpr int receive_buffer_bytes = 65536;
+constexpr int timeout_ms = 2000; // of the route
+constexpr auto dark_time = 4500ms;
+constexpr auto late_time = std::chrono::milliseconds{timeout_ms} + 500ms;
+constexpr auto longest_wait = 9000ms;
+
+struct outcome_counts {
+    int all{0};
+    int unanswered_at_timeout{0};
+    int unanswered_half_a_second_later{0};
+};
 
-/// Stand-in for a model server that is a rank of an idle group.
-class model_server {
+class caller_group {
   public:
-    model_server(std::uint32_t own_rank, const std::string& ip, record_file& written_record)
-        : rank(own_rank), record(written_record), server({ip, 0}, [this](connection& caller) { this->serve(caller); }) {
-    }
-    [[nodiscard]] const address& local_address() const { return this->server.local_address(); }
-    /// The next answer to a read of the report has no end.
-    void send_endless_answer() { this->is_endless_due = true; }
+    explicit caller_group(deployment& used) : site(used) {}
 
-  private:
-    [[nodiscard]] std::string answer(const http_message& request) const {
-        const std::string path = request.target().substr(0, request.target().find('?'));
-        if (path == "/-/report") {
-            const json group{{"name", "g-1"}, {"epoch", 1}, {"rank", this->rank}, {"state", "open"}};
-            return json{{"stage", "both"},    {"models", json::array()},
-                        {"busy", false},      {"seq", 0},
-                        {"queued", 0},        {"running", 0},
-                        {"kv_used", 0},       {"kv_total", 372000},
-                        {"handles", 0},       {"group", group},
-                        {"size", rank_count}, {"step", 0},
-                        {"map", 0},           {"prepared", 0},
-                        {"armed", nullptr},   {"held", nullptr}}
-                .dump();
+    void send_round(int round) {
+        std::vector<std::thread> threads;
+        threads.reserve(requests_in_round);
+        for (int i = 0; i < requests_in_round; ++i) {
+            threads.emplace_back([this, round, i] { this->send(round, i); });
         }
-        return path == "/-/picked" ? json{{"step", 0}, {"epoch", 1}, {"counts", json::array({0, 0, 0, 0})}}.dump()
-                                   : "{}";
-    }
-
-    void send_endless(const connection& caller) {
-        this->record.add("answer   without end of server " + std::to_string(this->rank) + " to GET /-/report");
-        std::size_t sent = 0;
-        bool is_open = caller.send_all("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n");
-        while (is_open) {
-            is_open = caller.send_all(std::string(piece_bytes, '#'));
-            sent += piece_bytes;
-            std::this_thread::sleep_for(piece_interval);
+        for (std::thread& each : threads) {
+            each.join();
         }
-        this->record.add("closed   by its caller after " + std::to_string(sent >> 20U) + " MB");
     }
 
-    void serve(connection& caller) {
-        http_reader reader{caller};
-        while (true) {
-            const auto request = reader.read(std::chrono::steady_clock::now() + idle_time);
-            if (!request || !request->is_complete) {
-                return;
-            }
-            if (request->target() == "/-/report" && this->is_endless_due.exchange(false)) {
-                this->send_endless(caller);
-                return;
-            }
-            const std::string body = this->answer(*request);
-            if (!caller.send_all("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
-                                 std::to_string(body.size()) + "\r\n\r\n" + body)) {
-                return;
-            }
-        }
-    }
-
-    const std::uint32_t rank;
-    record_file& record;
-    std::atomic<bool> is_endless_due{false};
-    listener server;
-};
-
-std::string config_with_engine() {
-    json config = json::parse(one_route_config("unsafe", 2000, 1));
-    config["services"].push_back({{"name", "design-llm"},
-                                  {"health_path", "/health"},
-                                  {"max_conns", 836},
-                                  {"engine",
-                                   {{"slots", 12},
-                                    {"link_mbps", 92000.0},
-                                    {"sets", 1},
-                                    {"experts", 4},
-                                    {"places", 2},
-                                    {"spare", 1},
-                                    {"expert_mb", 580.0},
-                                    {"form_ms", 600.0}}}});
-    return config.dump();
-}
-
-/// Ends processes over the memory limit and starts ended ones again, as the platform does.
-class process_keeper {
-  public:
-    explicit process_keeper(deployment& used) : site(used), ends(used.ranks.size(), 0) {}
+    [[nodiscard]] outcome_counts counts() const { return this->sums; }
 
-    void check() {
-        for (std::size_t i = 0; i < this->site.ranks.size(); ++i) {
-            deployment::rank_process& each = *this->site.ranks[i];
-            const long memory_kb = each.process->peak_memory_kb();
-            if (memory_kb > memory_limit_kb) {
-                this->site.record.add("memory   " + each.name + ": " + std::to_string(memory_kb) +
-                                      " KB, over the limit; it is killed");
-                each.process->send_signal(SIGKILL);
-            }
-            if (memory_kb > memory_limit_kb || each.process->has_ended()) {
-                ++this->ends[i];
-                std::this_thread::sleep_for(restart_delay);
-                this->site.restart(each);
-            }
-        }
-    }
-
-    /// @returns true when processes of two machines, and of a tenth of them, have ended three times
-    [[nodiscard]] bool has_fault(std::size_t machines) const {
-        std::size_t faulty = 0;
-        for (std::size_t i = 0; i < this->ends.size(); ++i) {
-            this->site.record.add("result   " + this->site.ranks[i]->name + " ended " + std::to_string(this->ends[i]) +
-                                  " times by itself");
-            faulty += this->ends[i] >= 3 ? 1 : 0;
-        }
-        return faulty >= 2 && faulty * 10 >= machines;
+  private:
+    void send(int round, int index) {
+        const std::string id = "order-" + std::to_string(round) + "-" + std::to_string(index);
+        const auto& entry = this->site.entries[static_cast<std::size_t>(index) % this->site.entries.size()];
+        const connection channel = connect_to(entry->front, 1000ms);
+        const auto begin = std::chrono::steady_clock::now();
+        const bool is_sent = channel.send_all(
+            std::string{"POST "} + route_prefix + "new HTTP/1.1\r\nHost: " + route_host +
+            "\r\nX-Pomelohoist-Attempt-Id: " + id + "\r\nX-Pomelohoist-Deadline-Ms: 4000\r\nX-Api-Key: " + api_key +
+            "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'x'));
+        const auto sent_at = std::chrono::steady_clock::now();
+        http_reader reader{channel};
+        const auto answer = reader.read(sent_at + longest_wait);
+        const auto took =
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - sent_at);
+        const auto sending = std::chrono::duration_cast<std::chrono::milliseconds>(sent_at - begin);
+        this->site.record.add("request  " + id + " to " + entry->name + (is_sent ? ": sent in " : ": cut off after ") +
+                              std::to_string(sending.count()) + " ms, " +
+                              (answer && answer->is_complete ? answer->start_line : "no answer") + " after " +
+                              std::to_string(took.count()) + " ms");
+        const std::lock_guard lock{this->mutex};
+        ++this->sums.all;
+        this->sums.unanswered_at_timeout += took.count() > timeout_ms ? 1 : 0;
+        this->sums.unanswered_half_a_second_later += took > late_time ? 1 : 0;
     }
 
-  private:
     deployment& site;
-    std::vector<int> ends;
+    std::mutex mutex;
+    outcome_counts sums;
 };
 
 void run_case(const std::string& folder) {
     deployment site{folder};
-    site.store.put("op", "config", config_with_engine());
-    std::vector<std::unique_ptr<model_server>> servers;
-    for (std::uint32_t i = 0; i < rank_count; ++i) {
-        servers.push_back(std::make_unique<model_server>(i, site.next_ip(), site.record));
-        site.add_server("i-" + std::to_string(i), "design-llm", servers.back()->local_address(), 12);
-        site.start_rank(servers.back()->local_address(), "design-llm");
+    site.store.put("op", "config", one_route_config("unsafe", timeout_ms, 1));
+    run_log log{site.record};
+    std::vector<std::unique_ptr<app_server>> servers;
+    for (int i = 0; i < server_count; ++i) {
+        const std::string id = "i-" + std::to_string(i + 1);
+        servers.push_back(
+            std::make_unique<app_server>(id, site.next_ip(), log, server_options{200ms, receive_buffer_bytes}));
+        site.add_server(id, service_name, servers.back()->local_address(), 6);
+    }
+    for (int i = 0; i < entry_count; ++i) {
+        site.start_entry(site.store.local_address());
     }
-    site.start_entry(site.store.local_address());
-    site.start_entry(site.store.local_address());
     if (!site.wait_ready(10s)) {
         site.record.add("the entries are not ready");
         site.finish(verdict::not_run);
     }
-    process_keeper keeper{site};
-    const auto begin = std::chrono::steady_clock::now();
-    int sent = 0;
-    while (std::chrono::steady_clock::now() - begin < run_time) {
-        if (site.has_trouble && sent < endless_answers &&
-            std::chrono::steady_clock::now() - begin > sent * endless_interval + 3s) {
-            ++sent;
-            for (int i = 0; i < affected_ranks; ++i) {
-                servers[static_cast<std::size_t>(i)]->send_endless_answer();
+    caller_group callers{site};
+    for (int round = 0; round < rounds; ++round) {
+        app_server& affected = *servers[static_cast<std::size_t>(round)];
+        std::thread trouble{[&site, &affected] {
+            if (site.has_trouble) {
+                site.record.add("trouble  one server is dark");
+                affected.set_dark(true);
+                std::this_thread::sleep_for(dark_time);
+                affected.set_dark(false);
+                site.record.add("trouble  the server is back");
             }
+        }};
+        std::this_thread::sleep_for(200ms);
+        callers.send_round(round);
+        trouble.join();
+        for (const auto& entry : site.entries) {
+            site.record.add("memory   " + entry->name + ": " + std::to_string(entry->process->peak_memory_kb()) +
+                            " KB");
         }
-        keeper.check();
-        std::this_thread::sleep_for(20ms);
     }
-    site.finish(keeper.has_fault(site.entries.size() + site.ranks.size()) ? verdict::broken : verdict::held);
+    const outcome_counts counts = callers.counts();
+    site.record.add("result   " + std::to_string(counts.all) + " requests; " +
+                    std::to_string(counts.unanswered_at_timeout) + " unanswered at the route's timeout, of these " +
+                    std::to_string(counts.unanswered_half_a_second_later) + " half a second later");
+    const bool is_broken = counts.unanswered_half_a_second_later >= 8 &&
+                           counts.unanswered_half_a_second_later * 2 > counts.unanswered_at_timeout;
+    site.finish(is_broken ? verdict::broken : verdict::held);
 }
 
 } // namespace
