--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -8,7 +8,7 @@
 #include <mutex>
 #include <thread>
 
-/// Large requests while one of six servers is dark for some seconds, three times.
+/// Large requests while one of six servers is dark for some seconds, five times.
 namespace review {
 namespace {
 
@@ -17,7 +17,7 @@
 constexpr int entry_count = 3;
 constexpr int server_count = 6;
 constexpr int requests_in_round = 24;
-constexpr int rounds = 3;
+constexpr int rounds = 5;
 constexpr std::size_t body_bytes = 4000000; // the configuration allows 4194304
 constexpr int receive_buffer_bytes = 65536;
 constexpr int timeout_ms = 2000; // of the route
