--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -365,19 +365,18 @@
         this->outcome.reason = "a stream without the endpoint's signature, or in another encoding";
         return attempt_end::failed;
     }
-    this->events.drop_incomplete();
+    this->events.begin_run();
     while (true) {
         std::string piece;
         const exchange_state state = this->connection->read_body(piece, this->request.deadline, this->caller);
-        const std::optional<std::string> complete_events = this->events.extract_events(piece);
-        if (!complete_events) {
-            this->outcome.reason = "an event came out of order or was too long";
-            return attempt_end::failed;
-        }
-        if (!this->forward_events(response, *complete_events)) {
+        if (!this->forward_events(response, this->events.extract_events(piece))) {
             this->outcome.reason = "the caller has left";
             return attempt_end::caller_disconnected;
         }
+        if (this->events.is_broken()) {
+            this->outcome.reason = "an event came out of order, was too long or malformed";
+            return attempt_end::failed;
+        }
         if (state == exchange_state::complete) {
             return this->end_stream();
         }
--- a/src/direct/event_tracker.cpp
+++ b/src/direct/event_tracker.cpp
@@ -1,60 +1,54 @@
 #include "direct/event_tracker.h"
 
-#include "entry/stream_event.h"
-
-#include <pomelohoist/config.h>
-
-#include <Poco/NumberParser.h>
-#include <Poco/String.h>
-
-#include <sstream>
-#include <string_view>
+#include <charconv>
+#include <optional>
 
 namespace pomelohoist {
 
 namespace {
 
-/// @returns true when `id` may follow `previous`: numeric ids must grow, other ids must only differ
-bool may_follow(const std::string& previous, const std::string& id) {
-    Poco::UInt64 before = 0;
-    Poco::UInt64 after = 0;
-    if (Poco::NumberParser::tryParseUnsigned64(previous, before) && Poco::NumberParser::tryParseUnsigned64(id, after)) {
-        return after > before;
-    }
-    return previous != id;
+std::optional<std::uint64_t> parse_id(const std::string& text) {
+    std::uint64_t id = 0;
+    const char* end = text.data() + text.size();
+    const auto [stopped, error] = std::from_chars(text.data(), end, id);
+    return error == std::errc{} && stopped == end ? std::optional{id} : std::nullopt;
 }
 
-} // namespace
-
-std::optional<std::string> id_of_event(const std::string& event) {
-    constexpr std::string_view prefix = "id:";
-    std::istringstream lines{event};
-    for (std::string line; std::getline(lines, line);) {
-        if (line.starts_with(prefix)) {
-            return Poco::trim(line.substr(prefix.size()));
-        }
+/// @param previous id of the event before, or empty
+bool may_follow(const std::string& previous, const stream_event& event) {
+    const bool has_data = event.data && !event.data->empty();
+    if (!event.id || !has_data || event.has_comment) {
+        return false;
     }
-    return std::nullopt;
+    const std::optional<std::uint64_t> id = parse_id(*event.id);
+    const std::optional<std::uint64_t> before = parse_id(previous);
+    // An id from the caller that is no number cannot be compared.
+    return id && (!before || *id > *before);
 }
 
-std::optional<std::string> event_tracker::extract_events(const std::string& bytes) {
-    this->buffer += bytes;
+} // namespace
+
+std::string event_tracker::extract_events(const std::string& bytes) {
+    this->parser.append(bytes);
     std::string events;
-    while (std::optional<std::string> event = extract_event(this->buffer)) {
-        const std::optional<std::string> id = id_of_event(*event);
-        if (id) {
-            if (!this->last.empty() && !may_follow(this->last, *id)) {
-                return std::nullopt;
-            }
-            this->last = *id;
+    while (!this->broken) {
+        const std::optional<stream_event> event = this->parser.next();
+        if (!event) {
+            break;
+        }
+        this->broken = !may_follow(this->last, *event);
+        if (!this->broken) {
+            this->last = *event->id;
+            ++this->number;
+            events += event->bytes;
         }
-        ++this->number;
-        events += *event;
-    }
-    if (this->buffer.size() > config::max_event_bytes) {
-        return std::nullopt;
     }
     return events;
 }
 
+void event_tracker::begin_run() {
+    this->parser.reset();
+    this->broken = false;
+}
+
 } // namespace pomelohoist
--- a/src/entry/response_buffer.h
+++ b/src/entry/response_buffer.h
@@ -9,6 +9,7 @@
   public:
     result<done> on_head(const inner::run_head& head) override;
     result<done> on_data(const std::string& data) override;
+    result<done> on_end() override { return done{}; }
 
     void clear() { this->response = {}; }
     /// @attention complete only after the end record and its chunk count have been checked
--- a/src/entry/response_stream.cpp
+++ b/src/entry/response_stream.cpp
@@ -1,7 +1,5 @@
 #include "entry/response_stream.h"
 
-#include "entry/stream_event.h"
-
 #include <pomelohoist/config.h>
 
 #include <Poco/String.h>
@@ -44,6 +42,8 @@
 void response_stream::begin_attempt() {
     this->received_head = {};
     this->pending.clear();
+    this->events.reset();
+    this->bytes_without_data = 0;
     this->streaming = false;
     this->closing = false;
     this->attempt_has_text = false;
@@ -60,44 +60,66 @@
 }
 
 result<done> response_stream::on_data(const std::string& data) {
-    this->pending += data;
-    if (this->pending.size() > config::max_response_bytes) {
-        return failure{error_kind::endpoint_failed, "the answer is too large to be checked as a whole"};
-    }
     if (!this->streaming) {
+        this->pending += data;
+        if (this->pending.size() > config::max_response_bytes) {
+            return failure{error_kind::endpoint_failed, "the answer is too large to be checked as a whole"};
+        }
         return done{};
     }
     // Only complete events are forwarded, so that a resumed stream continues between two events.
-    while (!this->closing) {
-        const std::optional<std::string> event = extract_event(this->pending);
-        if (!event) {
-            break;
-        }
+    this->events.append(data);
+    while (const std::optional<stream_event> event = this->events.next()) {
         result<done> handled = this->handle_event(*event);
         if (!handled) {
             return handled;
         }
     }
+    if (this->events.is_malformed()) {
+        return failure{error_kind::endpoint_failed, "the stream contains bytes that are no event"};
+    }
     return done{};
 }
 
-result<done> response_stream::handle_event(const std::string& event) {
-    const stream_event_kind kind = kind_of_event(event);
-    if (kind == stream_event_kind::closing) {
-        // Closing events are held back until the end record: without that record the caller must not see a normal end.
-        this->closing = true;
-        this->pending.insert(0, event);
+result<done> response_stream::on_end() {
+    if (this->streaming && !this->events.incomplete_event().empty()) {
+        return failure{error_kind::endpoint_failed, "the stream ended within an event"};
+    }
+    return done{};
+}
+
+result<done> response_stream::handle_event(const stream_event& event) {
+    if (!event.data) {
+        // Comments keep a connection alive; they and blank lines are not forwarded.
+        this->bytes_without_data += event.bytes.size();
+        if (this->bytes_without_data > config::max_event_bytes) {
+            return failure{error_kind::endpoint_failed, "the stream contains no events"};
+        }
         return done{};
     }
+    this->bytes_without_data = 0;
+    const stream_event_kind kind = kind_of_event(*event.data);
+    if (kind == stream_event_kind::unknown) {
+        return failure{error_kind::endpoint_failed, "an event of the stream is no part of a response"};
+    }
     if (kind == stream_event_kind::error) {
         return failure{error_kind::endpoint_failed, "the engine reported an error in the stream"};
     }
+    if (kind == stream_event_kind::closing || this->closing) {
+        // Closing events are held back until the end record: without that record the caller must not see a normal end.
+        this->closing = true;
+        this->pending += event.bytes;
+        if (this->pending.size() > config::max_event_bytes) {
+            return failure{error_kind::endpoint_failed, "the stream goes on behind its end"};
+        }
+        return done{};
+    }
     if (kind == stream_event_kind::opening && this->begun && !this->attempt_has_text && this->attempt_resumes) {
         // The caller has already received the opening events of the first attempt.
         return done{};
     }
     this->attempt_has_text = this->attempt_has_text || kind == stream_event_kind::text;
-    result<done> sent = this->send_event(event);
+    result<done> sent = this->send_event(event.bytes);
     this->tokens += kind == stream_event_kind::text ? 1 : 0;
     return sent;
 }
--- a/src/entry/response_stream.h
+++ b/src/entry/response_stream.h
@@ -3,6 +3,7 @@
 #include "entry/entry_request.h"
 #include "entry/response_sink.h"
 #include "entry/run_connection.h"
+#include "entry/stream_event.h"
 
 #include <cstdint>
 #include <string>
@@ -17,6 +18,7 @@
 
     result<done> on_head(const inner::run_head& head) override;
     result<done> on_data(const std::string& data) override;
+    result<done> on_end() override;
 
     /// Discards data of the last attempt that has not been sent to the caller.
     void begin_attempt();
@@ -32,14 +34,16 @@
     [[nodiscard]] bool is_caller_disconnected() const { return this->caller_disconnected; }
 
   private:
-    result<done> handle_event(const std::string& event);
+    result<done> handle_event(const stream_event& event);
     result<done> send_event(const std::string& event);
     result<done> send_piece(const std::string& piece);
 
     const entry_request& request;
     response_sink& sink;
     inner::run_head received_head;
-    std::string pending; ///< received and not yet sent
+    std::string pending; ///< received and held back until the end
+    stream_event_parser events;
+    std::size_t bytes_without_data{0}; ///< of the events since the last one with data
     bool streaming{false};
     bool begun{false};
     bool closing{false}; ///< the closing events were received and are held back
--- a/src/entry/run_connection.cpp
+++ b/src/entry/run_connection.cpp
@@ -87,7 +87,7 @@
     return {run_ending::refused, {refused->kind, refused->reason}};
 }
 
-run_report handle_end(const inner::packet& received, const response_progress& progress) {
+run_report handle_end(const inner::packet& received, const response_progress& progress, run_consumer& consumer) {
     const auto end = inner::decode_body<inner::run_end>(received);
     if (!end) {
         return malformed(end.last_error().reason);
@@ -102,7 +102,8 @@
         return malformed("end record names " + std::to_string(end->chunks) + " chunks instead of " +
                          std::to_string(progress.chunks));
     }
-    return {run_ending::complete, {}};
+    const result<done> accepted = consumer.on_end();
+    return accepted ? run_report{run_ending::complete, {}} : aborted(accepted.last_error());
 }
 
 } // namespace
@@ -163,7 +164,7 @@
             ended = handle_refusal(*received, progress, log);
             break;
         default:
-            ended = handle_end(*received, progress);
+            ended = handle_end(*received, progress, consumer);
         }
         if (ended) {
             return *ended;
--- a/src/entry/run_connection.h
+++ b/src/entry/run_connection.h
@@ -21,6 +21,8 @@
     /// @returns done, or the reason to abort the run
     virtual result<done> on_head(const inner::run_head& head) = 0;
     virtual result<done> on_data(const std::string& data) = 0;
+    /// Called after the end record has been checked.
+    virtual result<done> on_end() = 0;
 };
 
 /// How a run ended.
--- a/src/entry/stream_event.cpp
+++ b/src/entry/stream_event.cpp
@@ -1,9 +1,13 @@
 #include "entry/stream_event.h"
 
+#include <pomelohoist/config.h>
+
+#include <Poco/UTF8Encoding.h>
 #include <nlohmann/json.hpp>
 
-#include <sstream>
-#include <string_view>
+#include <algorithm>
+#include <array>
+#include <utility>
 
 namespace pomelohoist {
 
@@ -11,21 +15,17 @@
 
 using nlohmann::json;
 
-std::string data_of(const std::string& event) {
-    constexpr std::string_view prefix = "data:";
-    std::istringstream lines{event};
-    std::string data;
-    for (std::string line; std::getline(lines, line);) {
-        if (line.starts_with(prefix)) {
-            line.erase(0, prefix.size());
-            line.erase(0, line.find_first_not_of(' '));
-            data += line;
-        }
-    }
-    while (!data.empty() && (data.back() == '\r' || data.back() == '\n')) {
-        data.pop_back();
-    }
-    return data;
+constexpr std::array<std::string_view, 4> field_names{"data", "event", "id", "retry"};
+constexpr unsigned char first_printable = 0x20;
+constexpr unsigned char delete_character = 0x7f;
+
+/// @returns true when the line is a field or a comment, or may become one with more bytes
+bool may_become_field(std::string_view line) {
+    const std::size_t colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    return std::any_of(field_names.begin(), field_names.end(), [&](std::string_view known) {
+        return colon == std::string_view::npos ? known.starts_with(name) : name.empty() || known == name;
+    });
 }
 
 bool has_text(const json& choice) {
@@ -41,32 +41,102 @@
 
 } // namespace
 
-std::optional<std::string> extract_event(std::string& buffer) {
-    constexpr std::string_view unix_end = "\n\n";
-    constexpr std::string_view dos_end = "\r\n\r\n";
-    const std::size_t unix_position = buffer.find(unix_end);
-    const std::size_t dos_position = buffer.find(dos_end);
-    std::size_t length = 0;
-    if (unix_position != std::string::npos && (dos_position == std::string::npos || unix_position < dos_position)) {
-        length = unix_position + unix_end.size();
-    } else if (dos_position != std::string::npos) {
-        length = dos_position + dos_end.size();
+std::optional<stream_event> stream_event_parser::next() {
+    while (!this->malformed && this->position < this->buffer.size() && this->skip_character()) {
+        const bool is_line_end = this->buffer[this->position - 1] == '\n';
+        if (is_line_end && this->end_line()) {
+            return this->extract_event();
+        }
+        this->malformed = this->malformed || this->position > config::max_event_bytes;
+    }
+    std::string_view line = std::string_view{this->buffer}.substr(this->line_begin);
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
+    }
+    this->malformed = this->malformed || !may_become_field(line);
+    return std::nullopt;
+}
+
+bool stream_event_parser::skip_character() {
+    const std::string_view rest = std::string_view{this->buffer}.substr(this->position);
+    const auto first = static_cast<unsigned char>(rest.front());
+    if (first == '\r') {
+        this->malformed = rest.size() > 1 && rest[1] != '\n';
+        this->position += rest.size() > 1 ? 1 : 0;
+        return rest.size() > 1;
+    }
+    const Poco::UTF8Encoding encoding;
+    const auto* bytes = reinterpret_cast<const unsigned char*>(rest.data());
+    const int code = encoding.queryConvert(bytes, static_cast<int>(rest.size()));
+    if (code < -1) {
+        return false;
+    }
+    const bool is_control = first < first_printable && first != '\t' && first != '\n';
+    this->malformed = code == -1 || is_control || first == delete_character;
+    if (!this->malformed) {
+        this->position += static_cast<std::size_t>(encoding.sequenceLength(bytes, static_cast<int>(rest.size())));
+    }
+    return !this->malformed;
+}
+
+bool stream_event_parser::end_line() {
+    const std::size_t begin = std::exchange(this->line_begin, this->position);
+    std::string_view line = std::string_view{this->buffer}.substr(begin, this->position - 1 - begin);
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
+    }
+    if (line.empty()) {
+        return true;
+    }
+    this->read_field(line);
+    return false;
+}
+
+void stream_event_parser::read_field(std::string_view line) {
+    const std::size_t colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    std::string_view value = colon == std::string_view::npos ? std::string_view{} : line.substr(colon + 1);
+    if (value.starts_with(' ')) {
+        value.remove_prefix(1);
+    }
+    if (colon == 0) {
+        this->current.has_comment = true;
+    } else if (name == "data") {
+        if (this->current.data) {
+            this->current.data->append("\n").append(value);
+        } else {
+            this->current.data = value;
+        }
+    } else if (name == "id") {
+        this->malformed = this->current.id.has_value();
+        this->current.id = value;
+    } else if (name == "retry") {
+        this->malformed = value.empty() || value.find_first_not_of("0123456789") != std::string_view::npos;
     } else {
-        return std::nullopt;
+        this->malformed = name != "event";
     }
-    std::string event = buffer.substr(0, length);
-    buffer.erase(0, length);
-    return event;
 }
 
-stream_event_kind kind_of_event(const std::string& event) {
-    const std::string data = data_of(event);
+stream_event stream_event_parser::extract_event() {
+    stream_event complete = std::exchange(this->current, {});
+    complete.bytes = this->buffer.substr(0, this->position);
+    this->buffer.erase(0, this->position);
+    this->line_begin = 0;
+    this->position = 0;
+    return complete;
+}
+
+void stream_event_parser::reset() {
+    *this = stream_event_parser{};
+}
+
+stream_event_kind kind_of_event(const std::string& data) {
     if (data == "[DONE]") {
         return stream_event_kind::closing;
     }
     const json parsed = json::parse(data, nullptr, false);
     if (!parsed.is_object()) {
-        return stream_event_kind::opening;
+        return stream_event_kind::unknown;
     }
     if (parsed.contains("error")) {
         return stream_event_kind::error;
--- a/tests/direct/decision_test.cpp
+++ b/tests/direct/decision_test.cpp
@@ -178,12 +178,30 @@
     EXPECT_EQ(tracker.extract_events("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
     EXPECT_EQ(tracker.last_id(), "1");
     EXPECT_EQ(tracker.incomplete_event(), "id: 2\nda");
-    tracker.drop_incomplete();
+    tracker.begin_run();
     EXPECT_EQ(tracker.extract_events("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
-    EXPECT_EQ(tracker.extract_events("id: 2\ndata: b\n\n"), std::nullopt);
+    EXPECT_FALSE(tracker.is_broken());
+    EXPECT_EQ(tracker.extract_events("id: 2\ndata: b\n\n"), "");
+    EXPECT_TRUE(tracker.is_broken());
     event_tracker resumed{"12"};
-    EXPECT_EQ(resumed.extract_events("id: 12\n\n"), std::nullopt);
-    EXPECT_EQ(event_tracker{"12"}.extract_events("id: 13\n\n"), "id: 13\n\n");
+    EXPECT_EQ(resumed.extract_events("id: 12\ndata: l\n\n"), "");
+    EXPECT_TRUE(resumed.is_broken());
+    event_tracker sound{"12"};
+    EXPECT_EQ(sound.extract_events("id: 13\ndata: m\n\n"), "id: 13\ndata: m\n\n");
+    EXPECT_FALSE(sound.is_broken());
+}
+
+// Guards against events that are counted as forwarded and then lost, because a broken one arrives in the same read.
+TEST(event_tracker_test, events_before_a_broken_one_are_forwarded) {
+    for (const std::string broken : {"id: 1\ndata: a\n\n", "noise\n\n", "id: 3\ndata: \x01", "data: no id\n\n"}) {
+        event_tracker tracker{""};
+        EXPECT_EQ(tracker.extract_events("id: 1\ndata: a\n\nid: 2\ndata: b\n\n" + broken),
+                  "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        EXPECT_TRUE(tracker.is_broken()) << broken;
+        EXPECT_EQ(tracker.last_id(), "2");
+        EXPECT_EQ(tracker.forwarded_count(), 2U);
+        EXPECT_EQ(tracker.extract_events("id: 3\ndata: c\n\n"), "") << broken;
+    }
 }
 
 } // namespace
--- a/tests/entry/response_stream_test.cpp
+++ b/tests/entry/response_stream_test.cpp
@@ -57,6 +57,70 @@
     EXPECT_FALSE(response.on_head({{1, 2}, 503, {{"Content-Type", "application/json"}}}));
 }
 
+// Guards against bytes of a faulty engine that reach the caller as a part of its response, before or after the closing
+// events.
+TEST(response_stream_test, refuses_bytes_that_are_no_event) {
+    const std::string opening = "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n";
+    const std::string closing = "data: [DONE]\n\n";
+    for (const std::string& sound : {opening, closing}) {
+        for (const std::string noise : {"noise\n\n", "\x01\x02", "data: noise\n\n", "data: 7\n\n", "data: \xff\n\n",
+                                        "other: {\"choices\":[]}\n\n", "HTTP/1.1 200 OK\r\n\r\n"}) {
+            entry_request request;
+            request.stream = true;
+            recording_sink sink;
+            response_stream response{request, sink};
+            ASSERT_TRUE(response.on_head(stream_head));
+            EXPECT_FALSE(response.on_data(sound + noise)) << noise;
+            EXPECT_EQ(sink.text, sound == opening ? opening : "") << noise;
+        }
+    }
+}
+
+// Guards against comments, or events after the end of a stream, that keep a request busy for ever.
+TEST(response_stream_test, bounds_what_is_no_part_of_the_response) {
+    const std::string block = ": " + std::string(1000, 'c') + "\n\n";
+    for (const std::string& begin : {std::string{}, std::string{"data: [DONE]\n\n"}}) {
+        const std::string endless = begin.empty() ? block : "data: {\"choices\":[]}\n\n";
+        entry_request request;
+        request.stream = true;
+        recording_sink sink;
+        response_stream response{request, sink};
+        ASSERT_TRUE(response.on_head(stream_head));
+        ASSERT_TRUE(response.on_data(begin + endless));
+        std::size_t taken = 0;
+        while (taken < 4 * config::max_event_bytes && response.on_data(endless)) {
+            taken += endless.size();
+        }
+        EXPECT_LE(taken, config::max_event_bytes);
+        EXPECT_EQ(sink.text, "");
+    }
+}
+
+// Guards against comments that reach the caller within its response, and against a keep-alive comment that breaks a
+// stream.
+TEST(response_stream_test, comments_are_dropped) {
+    entry_request request;
+    request.stream = true;
+    recording_sink sink;
+    response_stream response{request, sink};
+    ASSERT_TRUE(response.on_head(stream_head));
+    ASSERT_TRUE(response.on_data(": keep-alive\n\n\n" + complete_stream() + ": end\n\n"));
+    ASSERT_TRUE(response.on_end());
+    response.finish();
+    EXPECT_EQ(sink.text, complete_stream());
+}
+
+// Guards against a stream that ends within an event and looks complete.
+TEST(response_stream_test, an_incomplete_event_is_no_end) {
+    entry_request request;
+    request.stream = true;
+    recording_sink sink;
+    response_stream response{request, sink};
+    ASSERT_TRUE(response.on_head(stream_head));
+    ASSERT_TRUE(response.on_data(complete_stream() + "data: {"));
+    EXPECT_FALSE(response.on_end());
+}
+
 // Guards against retries that multiply an overload.
 TEST(retry_budget_test, allows_a_share_of_the_requests) {
     seeded_random random{5};
