--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -121,6 +121,10 @@
 inline constexpr std::uint32_t store_preferred_ranks = 3;
 // Added to the wait of a watch. Two of these timeouts fit into the longest stale time (0.7 s and five steps of 0.1 s).
 inline constexpr std::chrono::milliseconds store_call_timeout{600};
+// For a whole call, beside the wait of a watch. The timeout above holds for each wait for bytes of the store.
+inline constexpr std::chrono::milliseconds store_call_limit{5000};
+inline constexpr std::size_t max_store_response_bytes = 8U << 20U; // 8 MB, one page of a table
+inline constexpr std::size_t max_store_table_bytes = 16U << 20U;   // 16 MB, keys and values
 // For this time after the store's last failure or restore, a missing registration may simply have lapsed meanwhile.
 // Its endpoint is then removed after `endpoint_return_time` instead of at once.
 inline constexpr std::chrono::milliseconds store_recovery_grace{3000};
@@ -170,6 +174,10 @@
 inline constexpr std::uint32_t prepare_check_ms = 50; // between two checks; one copy takes 6 to 400 ms
 inline constexpr std::uint32_t arm_retry_ms = 10;
 inline constexpr std::chrono::milliseconds rank_call_timeout{300};
+// For a whole call. The timeouts of a call and of a command hold for each wait for bytes of the engine.
+inline constexpr std::chrono::milliseconds rank_call_limit{1000};
+// The counts of 64 layers of 256 experts have some 160 KB.
+inline constexpr std::size_t max_rank_response_bytes = 512U << 10U; // 512 KB
 // Short, because an engine that does not respond at once responds only seconds later.
 inline constexpr std::chrono::milliseconds rank_command_timeout{120};
 // After a failed call to a rank process, its engine is called directly for this time.
@@ -245,6 +253,7 @@
 inline constexpr std::size_t max_response_head_bytes = 32U << 10U;        // 32 KB
 inline constexpr std::uint32_t max_interim_responses = 8;                 // (1xx) before a response
 inline constexpr std::size_t max_trailer_bytes = 16U << 10U;              // 16 KB
+inline constexpr std::size_t max_chunk_extension_bytes = 16U << 10U;      // 16 KB, in one body
 inline constexpr std::size_t max_event_bytes = 256U << 10U;               // 256 KB
 // Of a late response to an earlier request, which is read and dropped.
 inline constexpr std::size_t max_stray_response_bytes = 1U << 20U; // 1 MB
--- a/programs/pomelohoist.cpp
+++ b/programs/pomelohoist.cpp
@@ -20,7 +20,7 @@
 
 command_report run_on_platform(const operator_command& command, status_client& client, random_source& random,
                                const clock& time) {
-    const auto platform = make_platform_client(command.platform);
+    const auto platform = make_platform_client(command.platform, time);
     configuration_commit committer{*platform, *platform};
     platform_declaration_store store{*platform, committer};
     return operator_commands{store, client, random, time}.run(command);
--- a/src/agent/http_call.cpp
+++ b/src/agent/http_call.cpp
@@ -1,5 +1,7 @@
 #include "agent/http_call.h"
 
+#include "http/http_client.h"
+
 #include <pomelohoist/config.h>
 
 #include <Poco/Net/HTTPClientSession.h>
@@ -7,7 +9,6 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
-#include <Poco/StreamCopier.h>
 #include <Poco/String.h>
 #include <nlohmann/json.hpp>
 
@@ -29,7 +30,7 @@
 
 constexpr std::int64_t microseconds_per_millisecond = 1000;
 constexpr std::size_t read_buffer_bytes = 16384;
-constexpr std::chrono::milliseconds health_timeout{500};
+constexpr call_limits health_limits{std::chrono::milliseconds{500}, std::chrono::milliseconds{1000}, 64U << 10U};
 
 // Headers that apply to one connection. They are not forwarded; each connection sets its own.
 constexpr std::array<std::string_view, 7> connection_headers{
@@ -192,27 +193,18 @@
 }
 
 result<endpoint_health> check_http_health(const net_address& target) {
-    const result<StreamSocket> connected = connect(target, health_timeout);
-    if (!connected) {
-        return connected.last_error();
+    const system_clock time;
+    http_client client{target, time};
+    const result<http_reply> received = client.call({"GET", "/health"}, health_limits);
+    if (!received) {
+        return failure{error_kind::not_ready, received.last_error().reason};
     }
-    try {
-        HTTPClientSession session{*connected};
-        session.setKeepAlive(true);
-        session.setTimeout(to_poco(health_timeout));
-        send_request(session, target, {HTTPRequest::HTTP_GET, "/health", {}, ""});
-        HTTPResponse response;
-        std::string body;
-        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
-        if (response.getStatus() != HTTPResponse::HTTP_OK) {
-            return failure{error_kind::not_ready, "health status " + std::to_string(response.getStatus())};
-        }
-        const auto parsed = nlohmann::json::parse(body, nullptr, false);
-        const bool has_boot_id = parsed.is_object() && parsed.contains("boot_id") && parsed.at("boot_id").is_string();
-        return endpoint_health{has_boot_id ? parsed.at("boot_id").get<std::string>() : ""};
-    } catch (const Poco::Exception& error) {
-        return failure{error_kind::not_ready, error.displayText()};
+    if (received->head.status != HTTPResponse::HTTP_OK) {
+        return failure{error_kind::not_ready, "health status " + std::to_string(received->head.status)};
     }
+    const auto parsed = nlohmann::json::parse(received->body, nullptr, false);
+    const bool has_boot_id = parsed.is_object() && parsed.contains("boot_id") && parsed.at("boot_id").is_string();
+    return endpoint_health{has_boot_id ? parsed.at("boot_id").get<std::string>() : ""};
 }
 
 } // namespace pomelohoist
--- a/src/common/daemon.cpp
+++ b/src/common/daemon.cpp
@@ -152,7 +152,7 @@
         seeded_random random{system_seed()};
         metrics_registry metrics;
         const std::unique_ptr<span_exporter> spans =
-            make_span_exporter(program_name, checked.text("trace.file"), checked.text("trace.url"));
+            make_span_exporter(program_name, checked.text("trace.file"), checked.text("trace.url"), time);
         const daemon_context context{time, random, log, *spans, metrics};
         const std::unique_ptr<daemon> running_daemon = factory.create(checked, context);
         return serve_until_signal(*running_daemon, log, signals, source);
--- a/src/common/span.cpp
+++ b/src/common/span.cpp
@@ -53,14 +53,14 @@
 } // namespace
 
 std::unique_ptr<span_exporter> make_span_exporter(const std::string& service_name, const std::string& file,
-                                                  const std::string& url) {
+                                                  const std::string& url, const clock& time_source) {
     std::unique_ptr<span_exporter> to_file;
     std::unique_ptr<span_exporter> to_url;
     if (!file.empty()) {
         to_file = std::make_unique<file_span_exporter>(service_name, file);
     }
     if (!url.empty()) {
-        to_url = make_http_span_exporter(service_name, url);
+        to_url = make_http_span_exporter(service_name, url, time_source);
     }
     if (to_file && to_url) {
         return std::make_unique<pair_span_exporter>(std::move(to_file), std::move(to_url));
--- a/src/common/span.h
+++ b/src/common/span.h
@@ -50,7 +50,7 @@
 /// Makes an exporter from the settings `trace.file` and `trace.url`: JSON lines to a file, OTLP/HTTP JSON in batches
 /// from a background thread, or both. Returns a null exporter when both settings are empty.
 std::unique_ptr<span_exporter> make_span_exporter(const std::string& service_name, const std::string& file,
-                                                  const std::string& url);
+                                                  const std::string& url, const clock& time_source);
 
 /// A span that ends and is exported when its scope ends.
 class scoped_span {
--- a/src/common/span_json.h
+++ b/src/common/span_json.h
@@ -15,6 +15,7 @@
 /// Sends spans in batches from a background thread. Drops spans while its queue is full.
 /// @param url as in http://IP:PORT/v1/traces
 /// @attention throws Poco::SyntaxException when the URL is malformed
-std::unique_ptr<span_exporter> make_http_span_exporter(const std::string& service_name, const std::string& url);
+std::unique_ptr<span_exporter> make_http_span_exporter(const std::string& service_name, const std::string& url,
+                                                       const clock& time_source);
 
 } // namespace pomelohoist
--- a/src/direct/caller_connection_monitor.h
+++ b/src/direct/caller_connection_monitor.h
@@ -1,19 +1,20 @@
 #pragma once
 
+#include "http/cancellation.h"
+
 #include <Poco/Net/StreamSocket.h>
 
 /// Detects that a caller has disconnected.
 namespace pomelohoist {
 
 /// Monitors the caller's connection while the entry waits for an endpoint.
-class caller_connection_monitor {
+class caller_connection_monitor : public cancellation {
   public:
     explicit caller_connection_monitor(const Poco::Net::StreamSocket& connection) : socket(connection) {}
 
-    /// @returns the socket's descriptor, for poll(2)
-    [[nodiscard]] int descriptor() const;
-    /// @returns events of poll(2) that may mean that the caller has disconnected
-    [[nodiscard]] short events() const;
+    [[nodiscard]] int descriptor() const override;
+    [[nodiscard]] short events() const override;
+    [[nodiscard]] bool is_cancelled() override { return this->is_disconnected(); }
     /// @returns true when the caller has closed or broken the connection
     [[nodiscard]] bool is_disconnected();
     /// Resets the connection, so that an unfinished response cannot look complete.
--- a/src/direct/connection_pool.h
+++ b/src/direct/connection_pool.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "direct/endpoint_connection.h"
+#include "http/http_connection.h"
 
 #include <pomelohoist/clock.h>
 #include <pomelohoist/error.h>
@@ -20,15 +20,17 @@
     explicit connection_pool(const clock& time_source) : time(time_source) {}
 
     /// @returns an idle connection that is still usable, or null
-    std::unique_ptr<endpoint_connection> acquire(const std::string& instance);
-    void release(const std::string& instance, std::unique_ptr<endpoint_connection> connection);
+    std::unique_ptr<http_connection> acquire(const std::string& instance);
+    void release(const std::string& instance, std::unique_ptr<http_connection> connection);
     /// Closes the idle connections to endpoints that are not in `instances`.
     void retain_only(const std::vector<std::string>& instances);
 
   private:
+    [[nodiscard]] bool has_expired(const http_connection& connection) const;
+
     const clock& time;
     std::mutex mutex;
-    std::map<std::string, std::vector<std::unique_ptr<endpoint_connection>>> idle;
+    std::map<std::string, std::vector<std::unique_ptr<http_connection>>> idle;
 };
 
 } // namespace pomelohoist
--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -22,7 +22,7 @@
 constexpr double retry_after_spread_s = 0.9;
 constexpr std::uint16_t max_jittered_retry_s = 10; // longer values are sent without jitter
 
-std::vector<inner::header_field> end_to_end(const endpoint_response& response) {
+std::vector<inner::header_field> end_to_end(const http_response_head& response) {
     std::vector<inner::header_field> fields;
     std::copy_if(response.headers.begin(), response.headers.end(), std::back_inserter(fields),
                  [](const inner::header_field& field) { return !is_connection_field(field.name); });
@@ -168,8 +168,8 @@
         if (remaining <= std::chrono::milliseconds{0}) {
             return attempt_end::out_of_time;
         }
-        auto opened = endpoint_connection::open(endpoint.address, std::min(remaining, config::endpoint_connect_timeout),
-                                                this->parts.time);
+        auto opened = http_connection::open(endpoint.address, std::min(remaining, config::endpoint_connect_timeout),
+                                            this->parts.time);
         if (!opened) {
             this->outcome.reason = opened.last_error().reason;
             return attempt_end::unreached;
@@ -193,7 +193,7 @@
         return attempt_end::failed;
     }
     const steady_time until = this->response_time_limit();
-    endpoint_response response;
+    http_response_head response;
     const attempt_end read = this->read_response_head(response, until);
     if (read != attempt_end::responded) {
         return read;
@@ -209,7 +209,7 @@
     return this->forward_full_response(response, until);
 }
 
-void direct_forwarder::record_statements(const endpoint_response& response) {
+void direct_forwarder::record_statements(const http_response_head& response) {
     const endpoint_record& endpoint = this->permit->endpoint;
     const bool is_signed = response.header(this->parts.names.signature).has_value();
     const std::optional<std::string> limit = response.header(this->parts.names.rate_limit);
@@ -252,7 +252,7 @@
     case exchange_state::ready:
     case exchange_state::complete:
         return attempt_end::responded;
-    case exchange_state::caller_disconnected:
+    case exchange_state::cancelled:
         this->outcome.reason = "the caller has left";
         return attempt_end::caller_disconnected;
     case exchange_state::timed_out:
@@ -267,7 +267,7 @@
     return attempt_end::failed;
 }
 
-direct_forwarder::attempt_end direct_forwarder::read_response_head(endpoint_response& response, steady_time until) {
+direct_forwarder::attempt_end direct_forwarder::read_response_head(http_response_head& response, steady_time until) {
     const bool is_head = this->request.raw.method == "HEAD";
     constexpr int max_stray_responses = 3;
     for (int stray = 0; stray < max_stray_responses; ++stray) {
@@ -304,7 +304,7 @@
     return this->classify_exchange(exchange_state::broken, "answers to other requests only");
 }
 
-direct_forwarder::attempt_end direct_forwarder::forward_full_response(const endpoint_response& response,
+direct_forwarder::attempt_end direct_forwarder::forward_full_response(const http_response_head& response,
                                                                       steady_time until) {
     std::string body;
     buffer_reservation reservation{this->parts.buffers};
@@ -344,7 +344,7 @@
     return attempt_end::responded;
 }
 
-bool direct_forwarder::forward_events(const endpoint_response& response, const std::string& event_bytes) {
+bool direct_forwarder::forward_events(const http_response_head& response, const std::string& event_bytes) {
     if (event_bytes.empty()) {
         return true;
     }
@@ -360,7 +360,7 @@
     return this->sink.send_piece(event_bytes);
 }
 
-direct_forwarder::attempt_end direct_forwarder::forward_stream(const endpoint_response& response) {
+direct_forwarder::attempt_end direct_forwarder::forward_stream(const http_response_head& response) {
     if (!response.header(this->parts.names.signature) || response.header("Content-Encoding")) {
         this->outcome.reason = "a stream without the endpoint's signature, or in another encoding";
         return attempt_end::failed;
--- a/src/direct/direct_forwarder.h
+++ b/src/direct/direct_forwarder.h
@@ -82,16 +82,16 @@
     attempt_end exchange();
     /// Reports the end of the run to the crash reporter.
     void report_run(attempt_end end);
-    attempt_end read_response_head(endpoint_response& response, steady_time until);
-    attempt_end forward_full_response(const endpoint_response& response, steady_time until);
-    attempt_end forward_stream(const endpoint_response& response);
+    attempt_end read_response_head(http_response_head& response, steady_time until);
+    attempt_end forward_full_response(const http_response_head& response, steady_time until);
+    attempt_end forward_stream(const http_response_head& response);
     attempt_end end_stream();
-    bool forward_events(const endpoint_response& response, const std::string& event_bytes);
+    bool forward_events(const http_response_head& response, const std::string& event_bytes);
     [[nodiscard]] bool may_retry(attempt_end end);
     [[nodiscard]] bool is_stream() const { return this->request.matched_route->retry == retry_policy::stream; }
     [[nodiscard]] steady_time response_time_limit() const;
     /// Records what the endpoint states about itself.
-    void record_statements(const endpoint_response& response);
+    void record_statements(const http_response_head& response);
     attempt_end classify_exchange(exchange_state state, const char* phase);
     void finish(attempt_end end);
     void refuse(const failure& reason);
@@ -105,7 +105,7 @@
     event_tracker events;
     forwarding_outcome outcome;
     std::unique_ptr<endpoint_permit> permit;
-    std::unique_ptr<endpoint_connection> connection;
+    std::unique_ptr<http_connection> connection;
     std::optional<full_response> endpoint_failure; ///< an endpoint's error response, forwarded when no retry follows
     std::chrono::milliseconds pause_left{0};       ///< until an endpoint may serve the request, if that is known
     std::string kept_back;          ///< for the log: an endpoint's statement that kept the request from it
--- a/src/direct/direct_request.h
+++ b/src/direct/direct_request.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "direct/caller_connection_monitor.h"
-#include "direct/endpoint_connection.h"
 #include "direct/header_names.h"
 #include "direct/request_fingerprint.h"
 #include "direct/routing_state.h"
 #include "direct/routing_table.h"
 #include "entry/entry_request.h"
+#include "http/http_connection.h"
 
 #include <pomelohoist/clock.h>
 #include <pomelohoist/error.h>
--- a/src/entry/model_call.cpp
+++ b/src/entry/model_call.cpp
@@ -1,5 +1,7 @@
 #include "entry/model_call.h"
 
+#include "common/parse_json.h"
+
 #include "common/digest.h"
 
 #include <pomelohoist/config.h>
@@ -14,21 +16,6 @@
 
 using nlohmann::json;
 
-class nesting_too_deep : public std::exception {
-  public:
-    [[nodiscard]] const char* what() const noexcept override { return "nested too deeply"; }
-};
-
-// Limits the nesting depth: serializing the JSON later recurses once per level, and the threads' stacks are small.
-json parse_bounded(const std::string& body) {
-    return json::parse(body, [](int depth, json::parse_event_t /*event*/, json& /*parsed*/) {
-        if (depth > config::max_json_depth) {
-            throw nesting_too_deep{};
-        }
-        return true;
-    });
-}
-
 std::string text_of(const json& content) {
     if (content.is_string()) {
         return content.get<std::string>();
@@ -90,7 +77,7 @@
 
 result<model_call> parse_model_call(const std::string& body) {
     try {
-        return read_call(parse_bounded(body));
+        return read_call(parse_json(body));
     } catch (const std::exception& error) {
         return failure{error_kind::bad_request, std::string{"malformed JSON: "} + error.what()};
     }
--- a/src/group/step_server.cpp
+++ b/src/group/step_server.cpp
@@ -1,18 +1,23 @@
 #include "group/step_server.h"
 
 #include "common/listen_socket.h"
+#include "common/parse_json.h"
+
+#include <pomelohoist/config.h>
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/StreamCopier.h>
 #include <Poco/URI.h>
 
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <exception>
+#include <istream>
+#include <stdexcept>
 
 namespace pomelohoist {
 
@@ -31,6 +36,20 @@
     json content;
 };
 
+/// @attention throws an exception when the body is too large
+std::string read_body(Poco::Net::HTTPServerRequest& request) {
+    std::string body;
+    std::array<char, 4096> buffer{};
+    std::istream& stream = request.stream();
+    while (stream.read(buffer.data(), buffer.size()), stream.gcount() > 0) {
+        body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > config::max_rank_response_bytes) {
+            throw std::length_error("the body exceeds " + std::to_string(config::max_rank_response_bytes) + " bytes");
+        }
+    }
+    return body;
+}
+
 step_call parse_call(const json& content) {
     step_call call;
     call.request.step = content.at("step").get<std::uint64_t>();
@@ -47,7 +66,7 @@
 }
 
 http_response handle_step_request(rank_service& service, const std::string& body) {
-    const step_response response = service.serve_step(parse_call(json::parse(body)));
+    const step_response response = service.serve_step(parse_call(parse_json(body)));
     if (!response.granted) {
         return {HTTPResponse::HTTP_CONFLICT, {{"wait", true}, {"needs_map", response.needs_map}}};
     }
@@ -82,21 +101,21 @@
     void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override {
         http_response http_out{HTTPResponse::HTTP_NOT_FOUND, json::object()};
         try {
-            std::string body;
-            Poco::StreamCopier::copyToString(request.stream(), body);
+            const std::string body = read_body(request);
             const Poco::URI target{request.getURI()};
             if (request.getMethod() == "POST" && target.getPath() == "/step") {
                 http_out = handle_step_request(this->service, body);
             } else if (request.getMethod() == "GET" && target.getPath() == "/map") {
                 http_out = handle_map_request(this->service, target);
             } else if (request.getMethod() == "POST" && target.getPath() == "/map") {
-                const json content = json::parse(body);
+                const json content = parse_json(body);
                 const bool is_accepted = this->service.add_map(content.at("version").get<std::uint64_t>(),
                                                                content.at("slots").get<std::vector<std::uint32_t>>());
                 http_out.status = is_accepted ? HTTPResponse::HTTP_OK : HTTPResponse::HTTP_BAD_REQUEST;
             }
         } catch (const std::exception& error) {
             http_out = {HTTPResponse::HTTP_BAD_REQUEST, {{"error", error.what()}}};
+            response.setKeepAlive(false); // the rest of the body would be parsed as the next request
         }
         const std::string text = http_out.content.dump();
         response.setStatusAndReason(http_out.status);
--- a/src/direct/chunk_decoder.cpp
+++ b/src/http/chunk_decoder.cpp
@@ -1,4 +1,4 @@
-#include "direct/chunk_decoder.h"
+#include "http/chunk_decoder.h"
 
 #include <pomelohoist/config.h>
 
@@ -11,6 +11,7 @@
 
 constexpr std::size_t max_line_bytes = 4096;
 constexpr int hexadecimal = 16;
+constexpr std::size_t max_size_digits = 16;
 
 } // namespace
 
@@ -60,6 +61,11 @@
 }
 
 bool chunk_decoder::read_size(const std::string& line) {
+    this->extension_bytes += line.size() - std::min(line.size(), max_size_digits);
+    if (this->extension_bytes > config::max_chunk_extension_bytes) {
+        this->current = state::malformed;
+        return false;
+    }
     const std::string digits = line.substr(0, line.find_first_of("; \t"));
     const char* begin = digits.data();
     const char* end = begin + digits.size();
--- a/src/direct/chunk_decoder.h
+++ b/src/http/chunk_decoder.h
@@ -27,7 +27,8 @@
 
     state current{state::size};
     std::size_t trailer_bytes{0};
-    std::uint64_t remaining{0}; ///< bytes of the current chunk that are not decoded yet
+    std::size_t extension_bytes{0}; ///< of all size lines
+    std::uint64_t remaining{0};     ///< bytes of the current chunk that are not decoded yet
 };
 
 } // namespace pomelohoist
--- a/src/direct/endpoint_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -1,4 +1,4 @@
-#include "direct/endpoint_connection.h"
+#include "http/http_connection.h"
 
 #include <pomelohoist/config.h>
 
@@ -42,34 +42,34 @@
 
 } // namespace
 
-std::optional<std::string> endpoint_response::header(const std::string& name) const {
+std::optional<std::string> http_response_head::header(const std::string& name) const {
     const auto found = std::find_if(this->headers.begin(), this->headers.end(),
                                     [&name](const auto& field) { return Poco::icompare(field.name, name) == 0; });
     return found != this->headers.end() ? std::optional{found->value} : std::nullopt;
 }
 
-bool endpoint_response::repeats(const std::string& name) const {
+bool http_response_head::repeats(const std::string& name) const {
     return std::count_if(this->headers.begin(), this->headers.end(),
                          [&name](const auto& field) { return Poco::icompare(field.name, name) == 0; }) > 1;
 }
 
-result<std::unique_ptr<endpoint_connection>>
-endpoint_connection::open(const net_address& target, std::chrono::milliseconds timeout, const clock& time_source) {
+result<std::unique_ptr<http_connection>>
+http_connection::open(const net_address& target, std::chrono::milliseconds timeout, const clock& time_source) {
     try {
         Poco::Net::StreamSocket socket;
         socket.connect(Poco::Net::SocketAddress{target.ip, target.port},
                        Poco::Timespan{timeout.count() * microseconds_per_millisecond});
         socket.setNoDelay(true);
-        return std::make_unique<endpoint_connection>(socket, time_source);
+        return std::make_unique<http_connection>(socket, time_source);
     } catch (const Poco::Exception& error) {
         return failure{error_kind::unreachable, target.to_string() + ": " + error.displayText()};
     }
 }
 
-endpoint_connection::endpoint_connection(const Poco::Net::StreamSocket& connected, const clock& time_source)
+http_connection::http_connection(const Poco::Net::StreamSocket& connected, const clock& time_source)
     : socket(connected), time(time_source) {}
 
-endpoint_connection::~endpoint_connection() {
+http_connection::~http_connection() {
     if (!this->is_response_pending) {
         return;
     }
@@ -84,7 +84,7 @@
     }
 }
 
-bool endpoint_connection::send(const std::string& bytes) {
+bool http_connection::send(const std::string& bytes) {
     this->is_response_pending = true;
     this->can_reuse = false;
     this->received.clear();
@@ -104,21 +104,21 @@
     }
 }
 
-exchange_state endpoint_connection::wait_for_bytes(steady_time until, caller_connection_monitor& caller) {
+exchange_state http_connection::wait_for_bytes(steady_time until, cancellation& cancel) {
     const int own = this->socket.impl()->sockfd();
     while (true) {
         const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(until - this->time.now()).count();
         if (remaining <= 0) {
             return exchange_state::timed_out;
         }
-        std::array<pollfd, 2> watched{pollfd{own, POLLIN, 0}, pollfd{caller.descriptor(), caller.events(), 0}};
+        std::array<pollfd, 2> watched{pollfd{own, POLLIN, 0}, pollfd{cancel.descriptor(), cancel.events(), 0}};
         const int ready =
             ::poll(watched.data(), watched.size(), static_cast<int>(std::min<long long>(remaining, max_poll_ms)));
         if (ready < 0 && errno != EINTR) {
             return exchange_state::broken;
         }
-        if (ready > 0 && watched[1].revents != 0 && caller.is_disconnected()) {
-            return exchange_state::caller_disconnected;
+        if (ready > 0 && watched[1].revents != 0 && cancel.is_cancelled()) {
+            return exchange_state::cancelled;
         }
         if (ready <= 0 || watched[0].revents == 0) {
             continue;
@@ -140,8 +140,8 @@
     }
 }
 
-exchange_state endpoint_connection::read_head(bool is_head_request, steady_time until,
-                                              caller_connection_monitor& caller, endpoint_response& response) {
+exchange_state http_connection::read_head(bool is_head_request, steady_time until, cancellation& cancel,
+                                          http_response_head& response) {
     std::uint32_t interim_responses = 0;
     while (true) {
         const std::size_t end = this->received.find("\r\n\r\n");
@@ -158,14 +158,14 @@
         if (this->has_ended || this->received.size() > config::max_response_head_bytes) {
             return exchange_state::broken;
         }
-        const exchange_state wait_state = this->wait_for_bytes(until, caller);
+        const exchange_state wait_state = this->wait_for_bytes(until, cancel);
         if (wait_state != exchange_state::ready) {
             return wait_state;
         }
     }
 }
 
-exchange_state endpoint_connection::parse_head(std::size_t end, bool is_head_request, endpoint_response& response) {
+exchange_state http_connection::parse_head(std::size_t end, bool is_head_request, http_response_head& response) {
     constexpr std::size_t blank_line_bytes = 4;
     std::istringstream head{this->received.substr(0, end + blank_line_bytes)};
     if (this->received.compare(0, 7, "HTTP/1.") != 0) {
@@ -190,7 +190,7 @@
     return exchange_state::ready;
 }
 
-bool endpoint_connection::choose_framing(bool is_head_request, const endpoint_response& response) {
+bool http_connection::choose_framing(bool is_head_request, const http_response_head& response) {
     this->chunks = chunk_decoder{};
     this->body_remaining = 0;
     this->body_framing = framing::none;
@@ -216,18 +216,18 @@
            Poco::NumberParser::tryParseUnsigned64(*response.header("Content-Length"), this->body_remaining);
 }
 
-void endpoint_connection::record_reuse(const endpoint_response& response) {
+void http_connection::record_reuse(const http_response_head& response) {
     const std::optional<std::string> connection = response.header("Connection");
     this->can_reuse =
         this->body_framing != framing::until_close && !(connection && Poco::icompare(*connection, "close") == 0);
-    this->idle_limit = config::idle_connection_default;
+    this->idle_limit.reset();
     const std::optional<std::string> limit = response.header("Keep-Alive");
     if (const std::optional<int> seconds = limit ? keep_alive_seconds(*limit) : std::nullopt) {
         this->idle_limit = std::chrono::seconds{*seconds} - config::idle_connection_margin;
     }
 }
 
-std::optional<exchange_state> endpoint_connection::extract_body(std::string& piece) {
+std::optional<exchange_state> http_connection::extract_body(std::string& piece) {
     switch (this->body_framing) {
     case framing::none:
         return exchange_state::complete;
@@ -262,8 +262,7 @@
     return has_bytes ? std::optional{exchange_state::ready} : std::nullopt;
 }
 
-exchange_state endpoint_connection::read_body(std::string& piece, steady_time until,
-                                              caller_connection_monitor& caller) {
+exchange_state http_connection::read_body(std::string& piece, steady_time until, cancellation& cancel) {
     while (true) {
         const std::optional<exchange_state> body_state = this->extract_body(piece);
         if (body_state) {
@@ -276,14 +275,14 @@
         if (this->has_ended) {
             return this->body_framing == framing::until_close ? exchange_state::complete : exchange_state::broken;
         }
-        const exchange_state wait_state = this->wait_for_bytes(until, caller);
+        const exchange_state wait_state = this->wait_for_bytes(until, cancel);
         if (wait_state != exchange_state::ready) {
             return wait_state;
         }
     }
 }
 
-bool endpoint_connection::is_unusable() {
+bool http_connection::is_unusable() {
     char byte = 0;
     const auto count = ::recv(this->socket.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
--- a/src/direct/endpoint_connection.h
+++ b/src/http/http_connection.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "direct/caller_connection_monitor.h"
-#include "direct/chunk_decoder.h"
+#include "http/cancellation.h"
+#include "http/chunk_decoder.h"
 #include "inner/messages.h"
 
 #include <pomelohoist/clock.h>
@@ -17,20 +17,20 @@
 #include <string>
 #include <vector>
 
-/// One HTTP connection to an endpoint.
+/// One HTTP connection to a server.
 namespace pomelohoist {
 
-/// Result of waiting for an endpoint.
+/// Result of waiting for the server.
 enum class exchange_state : std::uint8_t {
-    ready,               ///< the head, or a piece of the body, has arrived
-    complete,            ///< the body is complete
-    broken,              ///< the connection is lost, or its bytes are no valid response
-    timed_out,           ///< nothing arrived in time
-    caller_disconnected, ///< the caller has closed or lost its connection
+    ready,     ///< the head, or a piece of the body, has arrived
+    complete,  ///< the body is complete
+    broken,    ///< the connection is lost, or its bytes are no valid response
+    timed_out, ///< nothing arrived in time
+    cancelled, ///< its result is no longer wanted
     count
 };
 
-struct endpoint_response {
+struct http_response_head {
     std::uint16_t status{0};
     std::vector<inner::header_field> headers;
 
@@ -38,53 +38,53 @@
     [[nodiscard]] std::optional<std::string> header(const std::string& name) const;
     /// @returns true when the response has the field more than once
     [[nodiscard]] bool repeats(const std::string& name) const;
-    friend bool operator==(const endpoint_response&, const endpoint_response&) = default;
+    friend bool operator==(const http_response_head&, const http_response_head&) = default;
 };
 
 /// Carries one request at a time. Reads strictly by the framing of the response: bytes after the end of a response
 /// belong to no request.
 /// @attention used by one thread
-class endpoint_connection {
+class http_connection {
   public:
     /// @returns the connection, or `unreachable`
-    static result<std::unique_ptr<endpoint_connection>>
-    open(const net_address& target, std::chrono::milliseconds timeout, const clock& time_source);
-    endpoint_connection(const Poco::Net::StreamSocket& connected, const clock& time_source);
+    static result<std::unique_ptr<http_connection>> open(const net_address& target, std::chrono::milliseconds timeout,
+                                                         const clock& time_source);
+    http_connection(const Poco::Net::StreamSocket& connected, const clock& time_source);
     /// Resets the connection if its response is not complete, so that nothing more of the request is sent.
-    ~endpoint_connection();
-    endpoint_connection(const endpoint_connection&) = delete;
-    endpoint_connection& operator=(const endpoint_connection&) = delete;
+    ~http_connection();
+    http_connection(const http_connection&) = delete;
+    http_connection& operator=(const http_connection&) = delete;
 
     /// @returns false when the connection was lost
     bool send(const std::string& bytes);
     /// Reads the head of the next final response; skips interim (1xx) responses.
     /// @param until time at which the wait for the head ends
-    exchange_state read_head(bool is_head_request, steady_time until, caller_connection_monitor& caller,
-                             endpoint_response& response);
+    exchange_state read_head(bool is_head_request, steady_time until, cancellation& cancel,
+                             http_response_head& response);
     /// Appends the part of the body that has arrived to `piece`.
     /// @returns `ready` after at least one byte, or `complete`
-    exchange_state read_body(std::string& piece, steady_time until, caller_connection_monitor& caller);
+    exchange_state read_body(std::string& piece, steady_time until, cancellation& cancel);
     /// @returns true when the body has neither a length nor chunked coding and ends with the connection
     [[nodiscard]] bool is_unframed() const { return this->body_framing == framing::until_close; }
     /// @returns true when another request may be sent on this connection
     [[nodiscard]] bool is_reusable() const { return this->can_reuse; }
-    /// @returns true when the endpoint has closed or reset the connection
+    /// @returns true when the server has closed or reset the connection
     [[nodiscard]] bool is_lost() const { return this->has_ended; }
-    /// @returns true when the endpoint has closed the idle connection, or has sent bytes that belong to no request
+    /// @returns true when the server has closed the idle connection, or has sent bytes that belong to no request
     [[nodiscard]] bool is_unusable();
 
-    /// When the connection became idle, and how long it may stay idle.
+    /// When the connection became idle, and how long it may stay idle if the server states that.
     steady_time idle_since{};
-    std::chrono::milliseconds idle_limit{0};
+    std::optional<std::chrono::milliseconds> idle_limit;
 
   private:
     enum class framing : std::uint8_t { none, length, chunked, until_close, count };
 
-    exchange_state wait_for_bytes(steady_time until, caller_connection_monitor& caller);
-    exchange_state parse_head(std::size_t end, bool is_head_request, endpoint_response& response);
+    exchange_state wait_for_bytes(steady_time until, cancellation& cancel);
+    exchange_state parse_head(std::size_t end, bool is_head_request, http_response_head& response);
     /// @returns false when the fields do not state one valid framing
-    bool choose_framing(bool is_head_request, const endpoint_response& response);
-    void record_reuse(const endpoint_response& response);
+    bool choose_framing(bool is_head_request, const http_response_head& response);
+    void record_reuse(const http_response_head& response);
     /// @returns nothing when more bytes are needed
     std::optional<exchange_state> extract_body(std::string& piece);
 
@@ -94,7 +94,7 @@
     framing body_framing{framing::none};
     std::uint64_t body_remaining{0};
     chunk_decoder chunks;
-    bool has_ended{false}; ///< the endpoint has closed its side of the connection
+    bool has_ended{false}; ///< the server has closed its side of the connection
     bool can_reuse{false};
     bool is_response_pending{false}; ///< from the send of a request to the end of its response
 };
--- a/src/common/span_http.cpp
+++ b/src/http/span_exporter_http.cpp
@@ -1,12 +1,6 @@
 #include "common/span_json.h"
+#include "http/http_client.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/NullStream.h>
-#include <Poco/StreamCopier.h>
-#include <Poco/Timespan.h>
 #include <Poco/URI.h>
 
 #include <condition_variable>
@@ -23,12 +17,12 @@
 constexpr std::size_t max_queued_spans = 4096;
 constexpr std::size_t max_batch_spans = 256;
 constexpr std::chrono::milliseconds batch_interval{500};
-constexpr Poco::Timespan::TimeDiff request_timeout_us = 1000000; // 1 s
+constexpr call_limits collector_limits{std::chrono::seconds{1}, std::chrono::seconds{2}, 64U << 10U};
 
 class http_span_exporter : public span_exporter {
   public:
-    http_span_exporter(std::string service_name, const std::string& url)
-        : service(std::move(service_name)), target(url), sender([this] { this->send_loop(); }) {}
+    http_span_exporter(std::string service_name, const std::string& url, const clock& time_source)
+        : service(std::move(service_name)), target(url), time(time_source), sender([this] { this->send_loop(); }) {}
 
     ~http_span_exporter() override {
         {
@@ -80,26 +74,15 @@
     }
 
     bool post(const std::vector<span_record>& batch) {
-        try {
-            const std::string body = spans_to_json(this->service, batch);
-            Poco::Net::HTTPClientSession session{this->target.getHost(), this->target.getPort()};
-            session.setTimeout(Poco::Timespan{request_timeout_us});
-            const std::string path = this->target.getPathAndQuery().empty() ? "/" : this->target.getPathAndQuery();
-            Poco::Net::HTTPRequest request{Poco::Net::HTTPRequest::HTTP_POST, path, Poco::Net::HTTPRequest::HTTP_1_1};
-            request.setContentType("application/json");
-            request.setContentLength64(static_cast<Poco::Int64>(body.size()));
-            session.sendRequest(request) << body;
-            Poco::Net::HTTPResponse response;
-            Poco::NullOutputStream ignored;
-            Poco::StreamCopier::copyStream(session.receiveResponse(response), ignored);
-            return true;
-        } catch (const Poco::Exception&) {
-            return false;
-        }
+        http_client client{{this->target.getHost(), this->target.getPort()}, this->time};
+        const std::string path = this->target.getPathAndQuery().empty() ? "/" : this->target.getPathAndQuery();
+        return client.call({"POST", path, spans_to_json(this->service, batch), "application/json"}, collector_limits)
+            .has_value();
     }
 
     std::string service;
     Poco::URI target;
+    const clock& time;
     std::mutex mutex;
     std::condition_variable changed;
     std::deque<span_record> queue;
@@ -109,8 +92,9 @@
 
 } // namespace
 
-std::unique_ptr<span_exporter> make_http_span_exporter(const std::string& service_name, const std::string& url) {
-    return std::make_unique<http_span_exporter>(service_name, url);
+std::unique_ptr<span_exporter> make_http_span_exporter(const std::string& service_name, const std::string& url,
+                                                       const clock& time_source) {
+    return std::make_unique<http_span_exporter>(service_name, url, time_source);
 }
 
 } // namespace pomelohoist
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -1,18 +1,13 @@
 #include "platform/http_platform.h"
 
+#include "common/parse_json.h"
 #include "platform/base64.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/StreamCopier.h>
-#include <Poco/Timespan.h>
 #include <Poco/URI.h>
 
 #include <nlohmann/json.hpp>
 
 #include <exception>
-#include <istream>
-#include <ostream>
 #include <utility>
 
 namespace pomelohoist {
@@ -21,11 +16,12 @@
 
 using nlohmann::json;
 
-constexpr std::size_t max_idle_sessions = 8; // connections kept open for later calls
-constexpr long long microseconds_per_millisecond = 1000;
-// Shorter than the idle timeout of common servers, so that a write is rarely sent on a connection that the server
-// closes.
-constexpr int session_idle_seconds = 5;
+constexpr std::size_t max_idle_clients = 8; // whose connections are kept open for later calls
+constexpr std::uint16_t status_ok = 200;
+constexpr std::uint16_t status_redirect = 300;
+constexpr std::uint16_t status_not_found = 404;
+constexpr std::uint16_t status_too_many_requests = 429;
+constexpr std::uint16_t status_server_error = 500;
 constexpr const char* json_type = "application/json";
 constexpr const char* binary_type = "application/octet-stream";
 
@@ -51,7 +47,7 @@
 }
 
 std::vector<table_row> parse_rows(const std::string& body) {
-    const json response = json::parse(body);
+    const json response = parse_json(body);
     std::vector<table_row> rows;
     const json found = response.value("kvs", json::array());
     rows.reserve(found.size());
@@ -90,73 +86,47 @@
 
 } // namespace
 
-http_platform::http_platform(net_address server, std::chrono::milliseconds timeout)
-    : target(std::move(server)), call_timeout(timeout) {}
+http_platform::http_platform(net_address server, const clock& time_source, std::chrono::milliseconds timeout)
+    : target(std::move(server)),
+      time(time_source), limits{timeout, timeout + config::store_call_limit, config::max_response_bytes} {}
 
-std::unique_ptr<Poco::Net::HTTPClientSession> http_platform::acquire_session() {
-    {
-        const std::lock_guard lock{this->mutex};
-        if (!this->idle_sessions.empty()) {
-            auto session = std::move(this->idle_sessions.back());
-            this->idle_sessions.pop_back();
-            return session;
-        }
+std::unique_ptr<http_client> http_platform::acquire_client() {
+    const std::lock_guard lock{this->mutex};
+    if (this->idle_clients.empty()) {
+        return std::make_unique<http_client>(this->target, this->time);
     }
-    auto session = std::make_unique<Poco::Net::HTTPClientSession>(this->target.ip, this->target.port);
-    session->setTimeout(Poco::Timespan{this->call_timeout.count() * microseconds_per_millisecond});
-    session->setKeepAlive(true);
-    session->setKeepAliveTimeout(Poco::Timespan{session_idle_seconds, 0});
-    return session;
+    auto client = std::move(this->idle_clients.back());
+    this->idle_clients.pop_back();
+    return client;
 }
 
-void http_platform::release_session(std::unique_ptr<Poco::Net::HTTPClientSession> session) {
+void http_platform::release_client(std::unique_ptr<http_client> client) {
     const std::lock_guard lock{this->mutex};
-    if (this->idle_sessions.size() < max_idle_sessions) {
-        this->idle_sessions.push_back(std::move(session));
+    if (this->idle_clients.size() < max_idle_clients) {
+        this->idle_clients.push_back(std::move(client));
     }
 }
 
-result<http_platform::http_response> http_platform::exchange(const http_call& call) {
-    auto session = this->acquire_session();
-    try {
-        Poco::Net::HTTPRequest request{call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1};
-        request.setKeepAlive(true);
-        request.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
-        if (!call.content_type.empty()) {
-            request.setContentType(call.content_type);
-        }
-        std::ostream& upload = session->sendRequest(request);
-        upload.write(call.body.data(), static_cast<std::streamsize>(call.body.size()));
-        upload.flush();
-        Poco::Net::HTTPResponse response;
-        std::istream& download = session->receiveResponse(response);
-        http_response received;
-        received.status = response.getStatus();
-        Poco::StreamCopier::copyToString(download, received.body);
-        // When the server closes the connection before the end of the body, the stream ends without an exception.
-        if (response.hasContentLength() &&
-            response.getContentLength64() != static_cast<Poco::Int64>(received.body.size())) {
-            return unavailable("answer was cut off");
-        }
-        if (received.status >= http_status::HTTP_INTERNAL_SERVER_ERROR) {
-            return unavailable("status " + std::to_string(received.status));
-        }
-        this->release_session(std::move(session));
-        return received;
-    } catch (const Poco::Exception& error) {
-        return unavailable(error.displayText());
-    } catch (const std::exception& error) {
-        return unavailable(error.what());
+result<http_reply> http_platform::exchange(const http_call& call) {
+    auto client = this->acquire_client();
+    result<http_reply> received = client->call(call, this->limits);
+    this->release_client(std::move(client));
+    if (!received) {
+        return unavailable(received.last_error().reason);
+    }
+    if (received->head.status >= status_server_error) {
+        return unavailable("status " + std::to_string(received->head.status));
     }
+    return received;
 }
 
 result<std::string> http_platform::post_json(const std::string& path, const std::string& body) {
-    const result<http_response> response = this->exchange({"POST", path, body, json_type});
+    const result<http_reply> response = this->exchange({"POST", path, body, json_type});
     if (!response) {
         return response.last_error();
     }
-    if (response->status != http_status::HTTP_OK) {
-        return unavailable("status " + std::to_string(response->status));
+    if (response->head.status != status_ok) {
+        return unavailable("status " + std::to_string(response->head.status));
     }
     return response->body;
 }
@@ -193,7 +163,7 @@
         return body.last_error();
     }
     try {
-        const json response = json::parse(*body);
+        const json response = parse_json(*body);
         return transaction_outcome{response.value("succeeded", false),
                                    to_integer(response.at("header").at("revision"))};
     } catch (const std::exception& error) {
@@ -202,37 +172,37 @@
 }
 
 result<std::optional<std::string>> http_platform::get_object(const std::string& name) {
-    result<http_response> response = this->exchange({"GET", object_path(name), "", ""});
+    result<http_reply> response = this->exchange({"GET", object_path(name), "", ""});
     if (!response) {
         return response.last_error();
     }
-    if (response->status == http_status::HTTP_NOT_FOUND) {
+    if (response->head.status == status_not_found) {
         return std::optional<std::string>{};
     }
-    if (response->status != http_status::HTTP_OK) {
-        return unavailable("status " + std::to_string(response->status));
+    if (response->head.status != status_ok) {
+        return unavailable("status " + std::to_string(response->head.status));
     }
     return std::optional{std::move(response->body)};
 }
 
 result<done> http_platform::put_object(const std::string& name, const std::string& content) {
-    const result<http_response> response = this->exchange({"PUT", object_path(name), content, binary_type});
+    const result<http_reply> response = this->exchange({"PUT", object_path(name), content, binary_type});
     if (!response) {
         return response.last_error();
     }
-    if (response->status >= http_status::HTTP_MULTIPLE_CHOICES) {
-        return unavailable("status " + std::to_string(response->status));
+    if (response->head.status >= status_redirect) {
+        return unavailable("status " + std::to_string(response->head.status));
     }
     return done{};
 }
 
 result<host_list_content> http_platform::read_hosts() {
-    const result<http_response> response = this->exchange({"GET", "/hosts", "", ""});
+    const result<http_reply> response = this->exchange({"GET", "/hosts", "", ""});
     if (!response) {
         return response.last_error();
     }
     try {
-        const json content = json::parse(response->body);
+        const json content = parse_json(response->body);
         return host_list_content{content.at("version").get<std::uint64_t>(),
                                  content.at("leaving").get<std::vector<std::string>>()};
     } catch (const std::exception& error) {
@@ -245,21 +215,21 @@
     std::string path;
     Poco::URI::encode("/weights/" + group, "?#", path);
     path += "/" + std::to_string(layer) + "/" + std::to_string(expert) + "?rank=" + std::to_string(rank);
-    const result<http_response> response = this->exchange({"POST", path, "", ""});
+    const result<http_reply> response = this->exchange({"POST", path, "", ""});
     if (!response) {
         return response.last_error();
     }
-    if (response->status == http_status::HTTP_TOO_MANY_REQUESTS) {
+    if (response->head.status == status_too_many_requests) {
         return failure{error_kind::overloaded, "weight store: rate used up"};
     }
-    if (response->status >= http_status::HTTP_MULTIPLE_CHOICES) {
-        return unavailable("status " + std::to_string(response->status));
+    if (response->head.status >= status_redirect) {
+        return unavailable("status " + std::to_string(response->head.status));
     }
     return done{};
 }
 
-std::unique_ptr<http_platform> make_platform_client(const net_address& server) {
-    return std::make_unique<http_platform>(server);
+std::unique_ptr<http_platform> make_platform_client(const net_address& server, const clock& time_source) {
+    return std::make_unique<http_platform>(server, time_source);
 }
 
 } // namespace pomelohoist
--- a/src/platform/http_platform.h
+++ b/src/platform/http_platform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/http_client.h"
 #include "platform/host_list.h"
 #include "platform/object_store.h"
 #include "platform/table_service.h"
@@ -8,9 +9,6 @@
 #include <pomelohoist/config.h>
 #include <pomelohoist/types.h>
 
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPResponse.h>
-
 #include <chrono>
 #include <memory>
 #include <mutex>
@@ -25,7 +23,8 @@
   public:
     /// @param server address of the platform
     /// @param timeout limit of the connection setup and of each wait for data
-    explicit http_platform(net_address server, std::chrono::milliseconds timeout = config::store_timeout);
+    http_platform(net_address server, const clock& time_source,
+                  std::chrono::milliseconds timeout = config::store_timeout);
 
     result<std::optional<table_row>> get(const std::string& key) override;
     result<std::vector<table_row>> list(const std::string& prefix) override;
@@ -37,32 +36,19 @@
                               std::uint32_t rank) override;
 
   private:
-    using http_status = Poco::Net::HTTPResponse::HTTPStatus;
-
-    struct http_call {
-        std::string method;
-        std::string path;
-        std::string body;
-        std::string content_type;
-    };
-
-    struct http_response {
-        http_status status{http_status::HTTP_OK};
-        std::string body;
-    };
-
-    result<http_response> exchange(const http_call& call);
+    result<http_reply> exchange(const http_call& call);
     result<std::string> post_json(const std::string& path, const std::string& body);
-    std::unique_ptr<Poco::Net::HTTPClientSession> acquire_session();
-    void release_session(std::unique_ptr<Poco::Net::HTTPClientSession> session);
+    std::unique_ptr<http_client> acquire_client();
+    void release_client(std::unique_ptr<http_client> client);
 
     net_address target;
-    std::chrono::milliseconds call_timeout;
+    const clock& time;
+    const call_limits limits;
     std::mutex mutex;
-    std::vector<std::unique_ptr<Poco::Net::HTTPClientSession>> idle_sessions;
+    std::vector<std::unique_ptr<http_client>> idle_clients;
 };
 
 /// @returns a client with the timeout `config::store_timeout`
-std::unique_ptr<http_platform> make_platform_client(const net_address& server);
+std::unique_ptr<http_platform> make_platform_client(const net_address& server, const clock& time_source);
 
 } // namespace pomelohoist
--- a/src/spread/platform_source.cpp
+++ b/src/spread/platform_source.cpp
@@ -17,7 +17,7 @@
 
 platform_source::platform_source(const platform_setup& setup, const daemon_context& context,
                                  inner::datagram_endpoint& calls)
-    : client(setup.platform), breaker(context.time), guarded(this->client, this->breaker),
+    : client(setup.platform, context.time), breaker(context.time), guarded(this->client, this->breaker),
       directory(to_peers(setup.seeds)), spreader({this->guarded, this->client, this->client, this->directory, calls,
                                                   context.time, context.random, context.log},
                                                  setup.identity) {
--- a/tests/adapter/rank_http_engine_test.cpp
+++ b/tests/adapter/rank_http_engine_test.cpp
@@ -1,5 +1,6 @@
 #include "rank_http_engine.h"
 
+#include "support/endless_responses.h"
 #include "support/scripted_endpoint.h"
 
 #include <pomelohoist/expert_balance.h>
@@ -16,6 +17,8 @@
 using testing::HasSubstr;
 using testing::Not;
 
+const system_clock time;
+
 scripted_response json_response(int status, const std::string& body) {
     return {"HTTP/1.1 " + std::to_string(status) + " S\r\nContent-Type: application/json\r\nContent-Length: " +
             std::to_string(body.size()) + "\r\n\r\n" + body};
@@ -64,7 +67,7 @@
     scripted_endpoint engine{[&status](const std::string&, std::size_t) {
         return status == 0 ? scripted_response{"", {}, false, true} : json_response(status, "{}");
     }};
-    rank_http_engine rank{engine.address()};
+    rank_http_engine rank{engine.address(), time};
     const auto send_with = [&](int response_status) {
         status = response_status;
         return rank.send_command(rank_command{rank_command_kind::go, 1, 1, 0, 5, 0, 0, {}});
@@ -88,11 +91,40 @@
         static_cast<void>(request);
         return response;
     }};
-    rank_http_engine rank{engine.address()};
+    rank_http_engine rank{engine.address(), time};
     EXPECT_EQ(rank.read_experts().last_error().kind, error_kind::unreachable);
     EXPECT_EQ(rank.read_experts().last_error().kind, error_kind::unreachable);
 }
 
+// Guards against a process that runs out of memory, or waits for ever, when the model server beside it sends a response
+// without end.
+TEST(rank_http_engine_test, an_endless_response_is_broken_off) {
+    for (const test_support::endless_response& each : test_support::endless_responses()) {
+        scripted_endpoint engine{[&each](const std::string&, std::size_t) { return each.response; }};
+        rank_http_engine rank{engine.address(), time};
+        const auto began = std::chrono::steady_clock::now();
+        EXPECT_FALSE(rank.read_state()) << each.name;
+        EXPECT_FALSE(rank.read_counts()) << each.name;
+        EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::seconds{3}) << each.name;
+        // Memory of a host is 112 MB at least; the kernel's buffers of both ends hold some 6 MB of a connection.
+        EXPECT_LT(engine.endless_bytes(), 2 * (10U << 20U)) << each.name;
+    }
+}
+
+// Guards against the same for a response whose bytes come one by one, so that each wait for bytes is short.
+TEST(rank_http_engine_test, a_slow_response_without_end_is_broken_off) {
+    for (const test_support::endless_response& each : test_support::slow_responses(std::chrono::milliseconds{20})) {
+        scripted_endpoint engine{[&each](const std::string&, std::size_t) { return each.response; }};
+        rank_http_engine rank{engine.address(), time};
+        const auto began = std::chrono::steady_clock::now();
+        EXPECT_FALSE(rank.read_state()) << each.name;
+        EXPECT_EQ(rank.send_command(rank_command{rank_command_kind::go, 1, 1, 0, 5, 0, 0, {}}),
+                  command_outcome::no_response)
+            << each.name;
+        EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::seconds{3}) << each.name;
+    }
+}
+
 // Guards against returning counts in the wrong order, or the counts of a different rank.
 TEST(rank_http_engine_test, reads_counts_and_experts) {
     scripted_endpoint engine{[](const std::string& request, std::size_t) {
@@ -100,7 +132,7 @@
                                       ? R"({"map":{"version":4,"experts":[[1,2],[3]]},"prepared":null})"
                                       : R"({"step":9,"epoch":1,"counts":[[5,88],[940,1]]})");
     }};
-    rank_http_engine rank{engine.address()};
+    rank_http_engine rank{engine.address(), time};
     const auto counts = rank.read_counts();
     ASSERT_TRUE(counts);
     EXPECT_EQ(*counts, (std::vector<std::uint64_t>{5, 88, 940, 1}));
--- a/tests/adapter/row_control_store_test.cpp
+++ b/tests/adapter/row_control_store_test.cpp
@@ -23,8 +23,9 @@
 class row_control_store_test : public testing::Test {
   protected:
     row_store platform;
+    const system_clock time;
     structured_log log{make_null_log()};
-    row_control_store store{this->platform.address(), this->log};
+    row_control_store store{this->platform.address(), this->time, this->log};
 };
 
 // Guards against registrations that are missed when the table spans several pages.
@@ -144,7 +145,7 @@
 TEST_F(row_control_store_test, a_fencing_token_is_higher_than_those_of_before_a_restore) {
     const std::filesystem::path file = std::filesystem::temp_directory_path() / ("fences-" + std::to_string(getpid()));
     std::ofstream{file} << "[platform]\naddress=" << this->platform.address().to_string() << "\n";
-    row_platform connector;
+    row_platform connector{this->time};
     const auto settings_read = settings::load(file, connector.schema());
     ASSERT_TRUE(settings_read) << settings_read.last_error().reason;
     const auto copy = this->platform.copy();
@@ -172,7 +173,7 @@
 
 // Guards against two coordinators with the same fencing token.
 TEST_F(row_control_store_test, each_write_has_a_higher_version) {
-    row_client client{this->platform.address()};
+    row_client client{this->platform.address(), this->time};
     const auto first = client.write_row("fences", "g", "a");
     const auto second = client.write_row("fences", "g", "b");
     ASSERT_TRUE(first && second);
--- a/tests/common/observation_test.cpp
+++ b/tests/common/observation_test.cpp
@@ -113,7 +113,8 @@
 
 TEST(span_test, file_holds_one_export_a_line) {
     const temporary_file file{""};
-    make_spans(*make_span_exporter("entry", file.path(), ""), 2);
+    const system_clock time;
+    make_spans(*make_span_exporter("entry", file.path(), "", time), 2);
     std::ifstream stream{file.path()};
     std::string line;
     int lines = 0;
@@ -136,7 +137,8 @@
                                     new Poco::Net::HTTPServerParams};
     collector.start();
     const std::string url = "http://127.0.0.1:" + std::to_string(collector.port()) + "/v1/traces";
-    make_spans(*make_span_exporter("entry", "", url), 600);
+    const system_clock time;
+    make_spans(*make_span_exporter("entry", "", url, time), 600);
     std::size_t received = 0;
     {
         const std::lock_guard lock{factory->mutex};
--- a/tests/direct/decision_test.cpp
+++ b/tests/direct/decision_test.cpp
@@ -1,4 +1,4 @@
-#include "direct/chunk_decoder.h"
+#include "http/chunk_decoder.h"
 #include "direct/endpoint_choice.h"
 #include "direct/endpoint_list.h"
 #include "direct/event_tracker.h"
--- a/tests/docs/operators_page_test.cpp
+++ b/tests/docs/operators_page_test.cpp
@@ -69,7 +69,8 @@
 
 settings_schema all_settings() {
     settings_schema schema = entry_schema();
-    platform::row_platform connector;
+    const system_clock time;
+    platform::row_platform connector{time};
     for (const settings_schema& schema_part :
          {agent_schema(), direct_daemon_factory{connector}.schema(), rank_daemon_factory{connector}.schema()}) {
         schema.insert(schema.end(), schema_part.begin(), schema_part.end());
--- a/tests/group/rank_group.cpp
+++ b/tests/group/rank_group.cpp
@@ -82,7 +82,8 @@
 }
 
 std::optional<std::uint32_t> rank_group::find_coordinator() {
-    http_platform store{this->processes.platform().http};
+    const system_clock time;
+    http_platform store{this->processes.platform().http, time};
     const auto row = store.get("lease/g");
     if (!row || !*row) {
         return std::nullopt;
@@ -97,7 +98,8 @@
 }
 
 std::uint64_t rank_group::lease_epoch() {
-    http_platform store{this->processes.platform().http};
+    const system_clock time;
+    http_platform store{this->processes.platform().http, time};
     const auto row = store.get("lease/g");
     return row && *row ? json::parse((*row)->value).at("epoch").get<std::uint64_t>() : 0;
 }
--- a/tests/platform/circuit_breaker_test.cpp
+++ b/tests/platform/circuit_breaker_test.cpp
@@ -119,9 +119,9 @@
     standin_process standin;
     standin.control("faults", R"({"slow_ms":2000})");
     const system_clock time;
-    http_platform unguarded{standin.address()};
+    http_platform unguarded{standin.address(), time};
     const wait_times without = measure_waiting(unguarded);
-    http_platform guarded_store{standin.address()};
+    http_platform guarded_store{standin.address(), time};
     circuit_breaker breaker{time};
     guarded_table guarded{guarded_store, breaker};
     const wait_times with = measure_waiting(guarded);
--- a/tests/platform/http_platform_test.cpp
+++ b/tests/platform/http_platform_test.cpp
@@ -15,7 +15,8 @@
 class http_platform_test : public testing::Test {
   protected:
     standin_process standin{{"--weight-rate", "2", "--host-lag-ms", "200"}};
-    http_platform client{this->standin.address(), 500ms};
+    const system_clock time;
+    http_platform client{this->standin.address(), this->time, 500ms};
 };
 
 // Guards against keys or values that the encoding in Base64 and JSON alters.
--- a/tests/spread/configuration_commit_test.cpp
+++ b/tests/spread/configuration_commit_test.cpp
@@ -197,7 +197,8 @@
 // Guards against rows that only the in-memory table accepts, and against lost responses on real connections.
 TEST(configuration_commit_http_test, changes_over_http_with_lost_responses_count_once) {
     standin_process standin{{"--seed", "3"}};
-    http_platform client{standin.address()};
+    const system_clock time;
+    http_platform client{standin.address(), time};
     configuration_commit store{client, client};
     ASSERT_TRUE(store.commit(make_change("first", make_example_objects(8, 0))));
     standin.control("faults", R"({"lose_answers":{"share":0.3}})");
@@ -211,7 +212,7 @@
         }
         ASSERT_TRUE(accepted);
     }
-    http_platform second_client{standin.address()};
+    http_platform second_client{standin.address(), time};
     configuration_commit reader{second_client, second_client};
     const auto newest = reader.read_newest();
     ASSERT_TRUE(newest) << newest.last_error().reason;
--- a/tests/support/scripted_endpoint.cpp
+++ b/tests/support/scripted_endpoint.cpp
@@ -46,10 +46,13 @@
            more_fields + "\r\n" + body;
 }
 
-scripted_endpoint::scripted_endpoint(script responses)
+scripted_endpoint::scripted_endpoint(script responses, int receive_buffer_bytes)
     : response_of(std::move(responses)),
       listener(Poco::Net::SocketAddress{"127.0.0.1", 0}), bound{"127.0.0.1", this->listener.address().port()} {
     std::signal(SIGPIPE, SIG_IGN);
+    if (receive_buffer_bytes != 0) {
+        this->listener.setReceiveBufferSize(receive_buffer_bytes);
+    }
     this->threads.emplace_back([this] { this->accept_loop(); });
 }
 
@@ -95,6 +98,10 @@
     std::array<char, 4096> buffer{};
     try {
         while (!this->stopping && !this->crashed) {
+            if (!this->is_reading) {
+                std::this_thread::sleep_for(std::chrono::microseconds{poll_us});
+                continue;
+            }
             if (!socket.poll(Poco::Timespan{0, poll_us}, Poco::Net::Socket::SELECT_READ)) {
                 continue;
             }
@@ -137,6 +144,7 @@
     while (!response.endless.empty() && !this->stopping) { // ends with an exception when the client disconnects
         this->endless_sent += static_cast<std::size_t>(
             socket.sendBytes(response.endless.data(), static_cast<int>(response.endless.size())));
+        std::this_thread::sleep_for(response.endless_interval);
     }
     while (response.hangs && !this->stopping) {
         if (socket.poll(Poco::Timespan{0, poll_us}, Poco::Net::Socket::SELECT_READ) && socket.available() == 0) {
--- a/tests/support/scripted_endpoint.h
+++ b/tests/support/scripted_endpoint.h
@@ -28,6 +28,7 @@
     bool crashes_after_close{false};    ///< the same, but closes the connection without a reset
     int send_buffer_bytes{0};           ///< of the connection; 0: the kernel's choice
     std::string endless{};              ///< sent again and again after the bytes, until the client disconnects
+    std::chrono::milliseconds endless_interval{0}; ///< between two of these
 
     friend bool operator==(const scripted_response&, const scripted_response&) = default;
 };
@@ -38,13 +39,16 @@
     /// @param number number of the request, from 0
     using script = std::function<scripted_response(const std::string& request, std::size_t number)>;
 
-    explicit scripted_endpoint(script responses);
+    /// @param receive_buffer_bytes of each connection; 0: the kernel's choice
+    explicit scripted_endpoint(script responses, int receive_buffer_bytes = 0);
     ~scripted_endpoint();
     scripted_endpoint(const scripted_endpoint&) = delete;
     scripted_endpoint& operator=(const scripted_endpoint&) = delete;
 
     [[nodiscard]] net_address address() const;
     [[nodiscard]] std::vector<std::string> requests() const;
+    /// Leaves the bytes that clients send in the kernel's buffers from now on.
+    void stop_reading() { this->is_reading = false; }
     [[nodiscard]] bool has_crashed() const { return this->crashed; }
     [[nodiscard]] std::size_t connections() const { return this->accepted; }
     /// @returns bytes of `endless` that clients have taken, including those in the kernel's buffers
@@ -63,6 +67,7 @@
     std::atomic<bool> crashed{false};
     std::atomic<bool> is_closed{false}; ///< set once new connections are refused after a crash
     std::atomic<bool> stopping{false};
+    std::atomic<bool> is_reading{true};
     std::atomic<bool> caller_disconnected{false};
     std::atomic<std::size_t> accepted{0};
     std::atomic<std::size_t> endless_sent{0};
--- a/tools/capacity/coordinator_costs.cpp
+++ b/tools/capacity/coordinator_costs.cpp
@@ -122,7 +122,8 @@
 void measure_coordinator(const run_folders& folders, report& table) {
     test_support::deployment cluster = make_deployment(folders, "coordinator");
     cluster.start_platform();
-    http_platform rows{cluster.platform().http};
+    const system_clock time;
+    http_platform rows{cluster.platform().http, time};
     table.begin("Coordinator of a group");
     measure_lease(rows, cluster.platform().http, table);
     measure_planning(table);
--- a/tools/capacity/declared_size.cpp
+++ b/tools/capacity/declared_size.cpp
@@ -39,7 +39,8 @@
 }
 
 std::uint64_t newest_version(deployment& cluster) {
-    http_platform platform{cluster.platform().http};
+    const system_clock time;
+    http_platform platform{cluster.platform().http, time};
     configuration_commit reader{platform, platform};
     return reader.read_version().value().value_or(0);
 }
--- a/tools/capacity/fake_peer.cpp
+++ b/tools/capacity/fake_peer.cpp
@@ -26,7 +26,7 @@
 }
 
 void fake_peer::load_from(const net_address& platform) {
-    http_platform client{platform};
+    http_platform client{platform, this->time};
     configuration_commit reader{client, client};
     if (this->version() > 0) {
         const result<std::vector<configuration_delta>> deltas = reader.read_deltas(this->version());
--- a/tools/capacity/process_costs.cpp
+++ b/tools/capacity/process_costs.cpp
@@ -105,7 +105,8 @@
 
   private:
     std::uint64_t newest_version() {
-        http_platform platform{this->cluster.platform().http};
+        const system_clock time;
+        http_platform platform{this->cluster.platform().http, time};
         configuration_commit reader{platform, platform};
         return reader.read_version().value().value_or(0);
     }
