--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -265,6 +265,10 @@
 inline constexpr int caller_thread_stack_bytes = 128 * 1024;
 inline constexpr std::chrono::milliseconds caller_keep_alive{60000}; // longer than callers keep idle connections
 inline constexpr std::chrono::milliseconds caller_read_timeout{3000};
+// After its deadline, a caller that takes no byte of its response for the first time is disconnected, and any caller
+// after the second.
+inline constexpr std::chrono::milliseconds response_write_stall{1000};
+inline constexpr std::chrono::milliseconds response_write_extension{5000};
 inline constexpr std::chrono::milliseconds admission_poll_interval{20};
 // Longest wait for a permit at an endpoint, for a response without streaming and for a stream. The usual latency
 // targets are 100 ms for a response without streaming and 400 ms for the first event of a stream.
--- a/src/direct/caller_server.cpp
+++ b/src/direct/caller_server.cpp
@@ -40,7 +40,7 @@
         const steady_time arrived = this->time.now();
         auto& connected = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request);
         raw_request raw = read_header(request);
-        http_response http_out{connected, response};
+        http_response http_out{connected, response, this->time};
         caller_connection_monitor caller{connected.socket()};
         if (this->closing) {
             response.setKeepAlive(false);
@@ -87,27 +87,31 @@
 
 class page_handler : public Poco::Net::HTTPRequestHandler {
   public:
-    explicit page_handler(const std::function<full_response()>& page) : render(page) {}
+    page_handler(const std::function<full_response()>& page, const clock& time_source)
+        : render(page), time(time_source) {}
 
     void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override {
-        http_response http_out{dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request), response};
+        http_response http_out{dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request), response, this->time};
         http_out.send_response(this->render());
     }
 
   private:
     const std::function<full_response()>& render;
+    const clock& time;
 };
 
 class page_factory : public Poco::Net::HTTPRequestHandlerFactory {
   public:
-    explicit page_factory(std::function<full_response()> page) : render(std::move(page)) {}
+    page_factory(std::function<full_response()> page, const clock& time_source)
+        : render(std::move(page)), time(time_source) {}
 
     Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest& /*request*/) override {
-        return new page_handler{this->render};
+        return new page_handler{this->render, this->time};
     }
 
   private:
     std::function<full_response()> render;
+    const clock& time;
 };
 
 } // namespace
@@ -137,7 +141,7 @@
     this->server->start();
 }
 
-page_server::page_server(const net_address& local, std::function<full_response()> render)
+page_server::page_server(const net_address& local, std::function<full_response()> render, const clock& time_source)
     : socket(bind_listener(local, page_backlog)) {
     Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
     params->setMaxThreads(page_threads);
@@ -147,8 +151,8 @@
     params->setKeepAliveTimeout(to_poco(config::caller_read_timeout));
     this->pool =
         std::make_unique<Poco::ThreadPool>(1, page_threads, thread_idle_seconds, config::caller_thread_stack_bytes);
-    this->server =
-        std::make_unique<Poco::Net::HTTPServer>(new page_factory{std::move(render)}, *this->pool, this->socket, params);
+    this->server = std::make_unique<Poco::Net::HTTPServer>(new page_factory{std::move(render), time_source},
+                                                           *this->pool, this->socket, params);
     this->server->start();
 }
 
--- a/src/direct/caller_server.h
+++ b/src/direct/caller_server.h
@@ -48,7 +48,7 @@
   public:
     /// @param render returns status, headers and text; called on the server's threads
     /// @attention throws Poco::Net::NetException when the address cannot be bound
-    page_server(const net_address& local, std::function<full_response()> render);
+    page_server(const net_address& local, std::function<full_response()> render, const clock& time_source);
     ~page_server();
     page_server(const page_server&) = delete;
     page_server& operator=(const page_server&) = delete;
--- a/src/direct/direct_daemon.cpp
+++ b/src/direct/direct_daemon.cpp
@@ -71,10 +71,12 @@
             this->parts->link.start();
             this->parts->watcher.start();
             this->parts->server.start();
-            this->readiness = std::make_unique<page_server>(this->values.address("http.ready_address"),
-                                                            [this] { return this->render_readiness(); });
-            this->metrics = std::make_unique<page_server>(this->values.address("http.metrics_address"),
-                                                          [this] { return this->render_metrics(); });
+            this->readiness = std::make_unique<page_server>(
+                this->values.address("http.ready_address"), [this] { return this->render_readiness(); },
+                this->context.time);
+            this->metrics = std::make_unique<page_server>(
+                this->values.address("http.metrics_address"), [this] { return this->render_metrics(); },
+                this->context.time);
         } catch (const Poco::Exception& error) {
             return failure{error_kind::invalid_settings, "the address cannot be bound: " + error.displayText()};
         }
--- a/src/direct/direct_service.cpp
+++ b/src/direct/direct_service.cpp
@@ -37,6 +37,7 @@
         this->refuse(raw, request.last_error(), sink);
         return;
     }
+    sink.set_deadline(request->deadline);
     direct_forwarder forwarder{this->parts, *request, sink, caller};
     this->record_outcome(*request, forwarder.run());
 }
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -77,6 +77,7 @@
 }
 
 forward_outcome entry_service::forward(const entry_request& request, response_sink& caller, scoped_span& span) {
+    caller.set_deadline(request.deadline);
     span.set("workspace", request.workspace);
     span.set("application", request.application);
     span.set("serves", request.serves);
--- a/src/entry/http_server.cpp
+++ b/src/entry/http_server.cpp
@@ -31,7 +31,7 @@
     void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override {
         const steady_time arrived = this->time.now();
         raw_request raw = read_header(request);
-        http_response caller_response{dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request), response};
+        http_response caller_response{dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request), response, this->time};
         if (this->serve_operator_path(raw, caller_response)) {
             return;
         }
--- a/src/entry/response_sink.h
+++ b/src/entry/response_sink.h
@@ -3,6 +3,8 @@
 #include "entry/error_response.h"
 #include "inner/messages.h"
 
+#include <pomelohoist/clock.h>
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -23,6 +25,8 @@
 class response_sink {
   public:
     virtual ~response_sink() = default;
+    /// States when the caller's request ends. Until then a caller may pause while it takes the response.
+    virtual void set_deadline(steady_time time) = 0;
     /// Adds a header field. Only before the response has begun.
     virtual void add_header(const std::string& name, const std::string& value) = 0;
     virtual void send_response(const full_response& response) = 0;
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -84,34 +84,44 @@
     }
 }
 
-bool http_connection::send(const std::string& bytes) {
+bool http_connection::send(std::string bytes) {
     this->is_response_pending = true;
     this->can_reuse = false;
     this->received.clear();
-    try {
-        std::size_t sent = 0;
-        while (sent < bytes.size()) {
-            const int count = this->socket.sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent));
-            if (count <= 0) {
-                return false;
-            }
-            sent += static_cast<std::size_t>(count);
+    this->outgoing = std::move(bytes);
+    this->sent = 0;
+    return this->flush();
+}
+
+bool http_connection::flush() {
+    const int own = this->socket.impl()->sockfd();
+    while (this->is_sending()) {
+        const auto count = ::send(own, this->outgoing.data() + this->sent, this->outgoing.size() - this->sent,
+                                  MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (count < 0 && errno == EINTR) {
+            continue;
         }
-        return true;
-    } catch (const Poco::Exception&) {
-        // The caller of this function reports a lost connection.
-        return false;
+        if (count < 0) {
+            return errno == EAGAIN || errno == EWOULDBLOCK;
+        }
+        this->sent += static_cast<std::size_t>(count);
     }
+    // Frees the memory of a large request while its response is awaited.
+    this->outgoing = std::string{};
+    this->sent = 0;
+    return true;
 }
 
 exchange_state http_connection::wait_for_bytes(steady_time until, cancellation& cancel) {
     const int own = this->socket.impl()->sockfd();
+    bool can_send = true;
     while (true) {
         const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(until - this->time.now()).count();
         if (remaining <= 0) {
             return exchange_state::timed_out;
         }
-        std::array<pollfd, 2> watched{pollfd{own, POLLIN, 0}, pollfd{cancel.descriptor(), cancel.events(), 0}};
+        const auto events = static_cast<short>(can_send && this->is_sending() ? POLLIN | POLLOUT : POLLIN);
+        std::array<pollfd, 2> watched{pollfd{own, events, 0}, pollfd{cancel.descriptor(), cancel.events(), 0}};
         const int ready =
             ::poll(watched.data(), watched.size(), static_cast<int>(std::min<long long>(remaining, max_poll_ms)));
         if (ready < 0 && errno != EINTR) {
@@ -123,21 +133,26 @@
         if (ready <= 0 || watched[0].revents == 0) {
             continue;
         }
-        std::array<char, read_buffer_bytes> buffer{};
-        const auto count = ::recv(own, buffer.data(), buffer.size(), MSG_DONTWAIT);
-        if (count > 0) {
-            this->received.append(buffer.data(), static_cast<std::size_t>(count));
-            return exchange_state::ready;
-        }
-        if (count == 0) {
-            this->has_ended = true;
-            return exchange_state::ready;
-        }
-        if (errno != EAGAIN && errno != EINTR) {
-            this->has_ended = true;
-            return exchange_state::broken;
+        if (const std::optional<exchange_state> arrived = this->receive()) {
+            return *arrived;
         }
+        // The server may have responded before it closed its side; that response is still read.
+        can_send = can_send && this->flush();
+    }
+}
+
+std::optional<exchange_state> http_connection::receive() {
+    std::array<char, read_buffer_bytes> buffer{};
+    const auto count = ::recv(this->socket.impl()->sockfd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (count > 0) {
+        this->received.append(buffer.data(), static_cast<std::size_t>(count));
+        return exchange_state::ready;
+    }
+    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+        return std::nullopt;
     }
+    this->has_ended = true;
+    return count == 0 ? exchange_state::ready : exchange_state::broken;
 }
 
 exchange_state http_connection::read_head(bool is_head_request, steady_time until, cancellation& cancel,
@@ -268,8 +283,10 @@
         if (body_state) {
             // Bytes received after the end of the response belong to no request. On a reused connection they would be
             // taken for the beginning of the next response.
-            this->can_reuse = this->can_reuse && this->received.empty() && !this->has_ended;
-            this->is_response_pending = this->is_response_pending && *body_state != exchange_state::complete;
+            // A request that was not sent whole would be continued by the next one.
+            this->can_reuse = this->can_reuse && this->received.empty() && !this->has_ended && !this->is_sending();
+            this->is_response_pending =
+                this->is_response_pending && (*body_state != exchange_state::complete || this->is_sending());
             return *body_state;
         }
         if (this->has_ended) {
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -55,8 +55,10 @@
     http_connection(const http_connection&) = delete;
     http_connection& operator=(const http_connection&) = delete;
 
+    /// Begins to send a request. What the server does not take at once is sent while the response is read, so that a
+    /// server that reads slowly, or not at all, holds nobody up longer than the wait for its response.
     /// @returns false when the connection was lost
-    bool send(const std::string& bytes);
+    bool send(std::string bytes);
     /// Reads the head of the next final response; skips interim (1xx) responses.
     /// @param until time at which the wait for the head ends
     exchange_state read_head(bool is_head_request, steady_time until, cancellation& cancel,
@@ -80,7 +82,13 @@
   private:
     enum class framing : std::uint8_t { none, length, chunked, until_close, count };
 
+    /// Sends what the socket takes without blocking.
+    /// @returns false when the connection was lost
+    bool flush();
+    [[nodiscard]] bool is_sending() const { return this->sent < this->outgoing.size(); }
     exchange_state wait_for_bytes(steady_time until, cancellation& cancel);
+    /// @returns nothing when no bytes have arrived
+    std::optional<exchange_state> receive();
     exchange_state parse_head(std::size_t end, bool is_head_request, http_response_head& response);
     /// @returns false when the fields do not state one valid framing
     bool choose_framing(bool is_head_request, const http_response_head& response);
@@ -90,6 +98,8 @@
 
     Poco::Net::StreamSocket socket;
     const clock& time;
+    std::string outgoing; ///< the request, until all of it is sent
+    std::size_t sent{0};  ///< of `outgoing`
     std::string received; ///< bytes that are not consumed yet
     framing body_framing{framing::none};
     std::uint64_t body_remaining{0};
--- a/tests/entry/response_stream_test.cpp
+++ b/tests/entry/response_stream_test.cpp
@@ -7,6 +7,7 @@
 
 class recording_sink : public response_sink {
   public:
+    void set_deadline(steady_time /*time*/) override {}
     void add_header(const std::string& /*name*/, const std::string& /*value*/) override {}
     void send_response(const full_response& response) override { this->text += response.body; }
     void begin_stream(std::uint16_t /*status*/, const std::vector<inner::header_field>& /*headers*/) override {}
