--- a/src/direct/crash_reporter.h
+++ b/src/direct/crash_reporter.h
@@ -35,6 +35,10 @@
     /// response that appears complete.
     void on_lost_run(const direct_request& request, const endpoint_record& endpoint, const run_progress& progress);
 
+    /// @returns true when the endpoint accepts connections
+    [[nodiscard]] bool is_running(const endpoint_record& endpoint) {
+        return this->prober.probe(endpoint.address) == endpoint_condition::listening;
+    }
     /// @returns true when the request must not be sent to any endpoint
     [[nodiscard]] bool is_quarantined(const direct_request& request);
     /// @returns true when the request must not be retried after a crash
--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -315,6 +315,9 @@
             state = exchange_state::broken;
         }
     }
+    if (state == exchange_state::complete && this->has_endpoint_ended()) {
+        state = exchange_state::broken;
+    }
     const attempt_end end = this->classify_exchange(state, "in the body");
     if (end != attempt_end::responded) {
         return end;
@@ -332,6 +335,10 @@
         this->outcome.reason = "a success without the endpoint's signature, or in another encoding";
         return attempt_end::failed;
     }
+    if (this->has_started_stream) {
+        this->outcome.reason = "a resumed stream was answered with " + std::to_string(response.status);
+        return attempt_end::failed;
+    }
     this->keep_connection();
     const full_response forwarded{response.status, end_to_end(response), std::move(body)};
     if (response.status >= first_server_error) {
@@ -391,11 +398,20 @@
     if (!this->events.incomplete_event().empty() || !this->has_started_stream) {
         return this->classify_exchange(exchange_state::broken, "within an event");
     }
+    if (this->has_endpoint_ended()) {
+        return this->classify_exchange(exchange_state::broken, "between two events");
+    }
     this->keep_connection();
     this->sink.end_stream();
     return attempt_end::responded;
 }
 
+bool direct_forwarder::has_endpoint_ended() {
+    // The kernel closes the connections of a process that has crashed, and a body without a length then ends in the
+    // same way as a complete one.
+    return this->connection->is_unframed() && !this->parts.crashes.is_running(this->permit->endpoint);
+}
+
 void direct_forwarder::keep_connection() {
     this->is_connection_lost = this->connection->is_lost();
     this->parts.connections.release(this->permit->endpoint.instance, std::move(this->connection));
--- a/src/direct/direct_forwarder.h
+++ b/src/direct/direct_forwarder.h
@@ -97,6 +97,8 @@
     void refuse(const failure& reason);
     void finish_without_permit(const failure& reason);
     void keep_connection();
+    /// @returns true when a body that ends with its connection may be incomplete, because its endpoint no longer runs
+    [[nodiscard]] bool has_endpoint_ended();
 
     const forwarding_parts& parts;
     const direct_request& request;
--- a/tests/direct/forwarding_test.cpp
+++ b/tests/direct/forwarding_test.cpp
@@ -225,6 +225,59 @@
     }
 }
 
+// Guards against a response without a length that looks complete because its endpoint's process has ended: its kernel
+// closes the connection in the same way as a process at the end of a response.
+TEST(forwarding_test, an_unframed_response_of_an_endpoint_that_has_ended_is_incomplete) {
+    const auto unframed = [](const std::string& request, const std::string& body) {
+        scripted_response response{
+            "HTTP/1.1 200 OK\r\nX-Pomelohoist-Attempt-Id: " + field_of(request, "X-Pomelohoist-Attempt-Id") +
+            "\r\nX-Pomelohoist-Response-Stamp: signed\r\n\r\n" + body};
+        response.crashes_after_close = true;
+        return response;
+    };
+    const std::string first_events = event(1) + event(2) + event(3) + event(4) + event(5);
+    const auto stream = [&](const std::string& request, std::size_t) {
+        return field_of(request, "Last-Event-Id").empty()
+                   ? unframed(request, first_events)
+                   : scripted_response{stream_head(request) + chunk(event(6)) + "0\r\n\r\n"};
+    };
+    scripted_endpoint first{stream};
+    scripted_endpoint second{stream};
+    direct_entry entry{{first.address(), second.address()}};
+    const http_response whole = entry.call("POST", "/stream/x", "p");
+    EXPECT_TRUE(whole.complete);
+    EXPECT_EQ(whole.body, first_events + event(6));
+
+    scripted_endpoint alone{stream};
+    direct_entry lone_entry{{alone.address()}};
+    const http_response interrupted = lone_entry.call("POST", "/stream/x", "p");
+    EXPECT_FALSE(interrupted.complete);
+    EXPECT_EQ(interrupted.body, first_events);
+
+    scripted_endpoint ends{[&](const std::string& request, std::size_t) { return unframed(request, "half"); }};
+    direct_entry other_entry{{ends.address()}};
+    EXPECT_EQ(other_entry.call("POST", "/unsafe/x", "p").status, 502);
+}
+
+// Guards against a stream that is resumed at an endpoint that refuses to go on, and ends as complete after the events
+// of the first endpoint.
+TEST(forwarding_test, a_resumed_stream_with_an_error_response_is_incomplete) {
+    for (const int status : {200, 204, 404, 500}) {
+        const auto serve = [status](const std::string& request, std::size_t) {
+            if (field_of(request, "Last-Event-Id").empty()) {
+                return scripted_response{stream_head(request) + chunk(event(1)), {}, true};
+            }
+            return scripted_response{full_response_to(request, status, status == 204 ? "" : "none")};
+        };
+        scripted_endpoint first{serve};
+        scripted_endpoint second{serve};
+        direct_entry entry{{first.address(), second.address()}};
+        const http_response response = entry.call("POST", "/stream/x", "p");
+        EXPECT_EQ(response.body, event(1)) << status;
+        EXPECT_FALSE(response.complete) << status;
+    }
+}
+
 // Guards against an endpoint that continues to work for a disconnected caller.
 TEST(forwarding_test, a_disconnect_of_the_caller_ends_the_work) {
     scripted_endpoint hangs{[](const std::string& request, std::size_t) {
