--- a/src/group/group_member.cpp
+++ b/src/group/group_member.cpp
@@ -9,9 +9,9 @@
 
 group_member::group_member(const group_position& own_position, const group_settings& options,
                            const member_parts& used_parts)
-    : position(own_position), shape(options.shape), parts(used_parts), client(used_parts.platform, used_parts.context.time),
-      breaker(used_parts.context.time), table(this->client, this->breaker),
-      record(this->table, own_position.group, options.shape),
+    : position(own_position), shape(options.shape), parts(used_parts),
+      client(used_parts.platform, used_parts.context.time), breaker(used_parts.context.time),
+      table(this->client, this->breaker), record(this->table, own_position.group, options.shape),
       directory(used_parts.source, own_position.group, own_position.ranks),
       network(this->directory, own_position.rank, used_parts.calls),
       fetcher(own_position, used_parts.process_name, options.shape, this->directory, this->maps, this->record),
