Find requests that crash endpoints before the head of a response is sent (BUDGET)

Cause: crash analysis suspected runs whose response had not begun only if no other run was lost in that crash.

The new test failed before the change.

Change: when all begun runs are cleared (their segments have had responses since the crash), those not begun are suspects too.

--- a/src/direct/crash_analysis.cpp
+++ b/src/direct/crash_analysis.cpp
@@ -23,28 +23,40 @@
     }
 };
 
+trait_record record_of(request_trait trait, const crash_history& history) {
+    const auto found = history.traits.find(trait);
+    return found != history.traits.end() ? found->second : trait_record{};
+}
+
+/// @returns true when all segments of the run have had responses since the crash
+bool is_cleared(const lost_run& run, const endpoint_crash& crash, const crash_history& history) {
+    const std::vector<request_trait>& segments = run.request.segments;
+    return !segments.empty() && std::all_of(segments.begin(), segments.end(), [&](request_trait segment) {
+        const std::optional<steady_time> response = record_of(segment, history).last_response;
+        return response && *response >= crash.at;
+    });
+}
+
 /// @returns the runs that may have caused the crash: an endpoint crashes as it begins a response, so the runs whose
-/// response had not begun are returned only when there are no others
-std::vector<const lost_run*> suspect_runs(const endpoint_crash& crash) {
+/// response had not begun are returned only when no other can be the cause. The head of the response that crashes it
+/// may never be sent.
+std::vector<const lost_run*> suspect_runs(const endpoint_crash& crash, const crash_history& history) {
     std::vector<const lost_run*> runs;
+    bool has_cause = false;
     for (const bool has_begun : {true, false}) {
         for (const lost_run& run : crash.runs) {
             if (run.has_begun == has_begun) {
                 runs.push_back(&run);
+                has_cause = has_cause || !is_cleared(run, crash, history);
             }
         }
-        if (!runs.empty()) {
+        if (has_cause) {
             break;
         }
     }
     return runs;
 }
 
-trait_record record_of(request_trait trait, const crash_history& history) {
-    const auto found = history.traits.find(trait);
-    return found != history.traits.end() ? found->second : trait_record{};
-}
-
 /// @returns true when a lost run has a trait whose quarantine is in force or has expired
 bool is_explained(const std::vector<const lost_run*>& runs, const std::map<request_trait, quarantine>& quarantines) {
     return std::any_of(runs.begin(), runs.end(), [&quarantines](const lost_run* run) {
@@ -58,7 +70,7 @@
                                                               const std::map<request_trait, quarantine>& quarantines) {
     std::map<request_trait, attributed_crashes> attributed;
     for (const endpoint_crash& crash : history.crashes) {
-        const std::vector<const lost_run*> runs = suspect_runs(crash);
+        const std::vector<const lost_run*> runs = suspect_runs(crash, history);
         const bool explained = is_explained(runs, quarantines);
         for (const lost_run* run : runs) {
             for (const request_trait trait : run->request.traits()) {
--- a/tests/direct/crash_analysis_test.cpp
+++ b/tests/direct/crash_analysis_test.cpp
@@ -76,6 +76,25 @@
     EXPECT_EQ(found(unanswered), std::set<request_trait>{bad_segment});
 }
 
+// Guards against requests that are never found because their endpoint crashes before the head of a response is sent,
+// while harmless responses have begun there.
+TEST(crash_analysis_test, a_request_that_crashes_before_its_response_begins_is_found) {
+    constexpr request_trait harmless_segment = 3;
+    crash_history history;
+    request_trait request = 0;
+    for (std::size_t crash = 0; crash < known_crashes; ++crash) {
+        history.crashes.push_back({crash,
+                                   at(crash * 1s),
+                                   {run_of(++request, {common_segment, harmless_segment}),
+                                    run_of(++request, {common_segment, bad_segment}, false)}});
+    }
+    EXPECT_FALSE(found(history).contains(bad_segment)); // nothing shows yet that the others are harmless
+    for (const request_trait segment : {common_segment, harmless_segment}) {
+        history.traits[segment] = {100, at(known_crashes * 1s)};
+    }
+    EXPECT_EQ(found(history), std::set<request_trait>{bad_segment});
+}
+
 // Guards against blaming a harmless request because its retries met crashes that another request caused.
 TEST(crash_analysis_test, retries_of_one_request_do_not_blame_its_segments) {
     crash_history history;
