--- a/tests/adapter/row_control_store_test.cpp
+++ b/tests/adapter/row_control_store_test.cpp
@@ -23,7 +23,7 @@
 class row_control_store_test : public testing::Test {
   protected:
     row_store platform;
-    const system_clock time;
+    const system_clock time{};
     structured_log log{make_null_log()};
     row_control_store store{this->platform.address(), this->time, this->log};
 };
--- a/tests/direct/paused_body_test.cpp
+++ b/tests/direct/paused_body_test.cpp
@@ -64,6 +64,7 @@
                                                        {"5\r\nhel", "lo\r\n5\r\nworld\r\n0\r\n\r\n"},
                                                        {"5\r\nhello\r\n5\r\nworld\r\n0\r\n", "\r\n"}};
     std::vector<std::thread> callers;
+    callers.reserve(bodies.size() + 1);
     for (const std::vector<std::string>& pieces : bodies) {
         callers.emplace_back([&pieces] {
             scripted_endpoint endpoint{sound};
@@ -107,6 +108,7 @@
                                              {chunked, "5\r\nhello\r\n", false, "408"},
                                              {of_length, "hello", false, "408"}};
     std::vector<std::thread> callers;
+    callers.reserve(cases.size());
     for (const incomplete_case& each : cases) {
         callers.emplace_back([&each] {
             scripted_endpoint endpoint{sound};
--- a/tests/platform/http_platform_test.cpp
+++ b/tests/platform/http_platform_test.cpp
@@ -15,7 +15,7 @@
 class http_platform_test : public testing::Test {
   protected:
     standin_process standin{{"--weight-rate", "2", "--host-lag-ms", "200"}};
-    const system_clock time;
+    const system_clock time{};
     http_platform client{this->standin.address(), this->time, 500ms};
 };
 
