--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -196,6 +197,13 @@
 
 // Direct forwarding: crashes of endpoints.
 inline constexpr std::chrono::milliseconds endpoint_probe_timeout{150};
+// A connection that an endpoint has closed while its port was open is explained by a crash when the port is found
+// closed after one of these times, or when the endpoint registers with a later start. Registrations arrive within 2 s.
+inline constexpr std::array<std::chrono::milliseconds, 3> lost_run_probes{
+    std::chrono::milliseconds{50}, std::chrono::milliseconds{250}, std::chrono::milliseconds{1000}};
+inline constexpr std::chrono::milliseconds lost_run_check_interval{50};
+inline constexpr std::chrono::seconds lost_run_memory{10};
+inline constexpr std::size_t max_watched_runs = 512;
 // After this number of events, a stream counts as a response: its request has not crashed the endpoint.
 inline constexpr std::uint64_t proven_events = 4;
 inline constexpr std::size_t max_fingerprint_segments = 16;
--- a/src/direct/crash_quarantine.cpp
+++ b/src/direct/crash_quarantine.cpp
@@ -131,11 +131,11 @@
     return is_due;
 }
 
-void crash_quarantine::record_response(const request_fingerprint& request) {
+void crash_quarantine::record_response(const request_fingerprint& request, steady_time at) {
     const std::lock_guard lock{this->mutex};
     const steady_time now = this->time.now();
     for (const request_trait trait : request.traits()) {
-        if (!this->note_response(trait, now)) {
+        if (!this->note_response(trait, at)) {
             continue;
         }
         const bool is_suspected = std::any_of(this->crashes.begin(), this->crashes.end(), [trait](const auto& crash) {
@@ -164,12 +164,15 @@
     return this->crashes.back();
 }
 
-void crash_quarantine::record_crash(std::uint64_t incarnation, const lost_run& run) {
+void crash_quarantine::record_crash(std::uint64_t incarnation, const lost_run& run, steady_time at) {
     const std::lock_guard lock{this->mutex};
     this->drop_expired();
     const steady_time now = this->time.now();
-    add_run(this->crash_of(incarnation, now), run);
-    add_run(this->own_crashes.try_emplace(incarnation, endpoint_crash{incarnation, now, {}}).first->second, run);
+    add_run(this->crash_of(incarnation, at), run);
+    own_crash& own =
+        this->own_crashes.try_emplace(incarnation, own_crash{endpoint_crash{incarnation, at, {}}, now}).first->second;
+    add_run(own.crash, run);
+    own.recorded_at = now;
     this->is_undecided = true;
 }
 
@@ -231,9 +234,9 @@
     const std::lock_guard lock{this->mutex};
     const steady_time now = this->time.now();
     std::vector<const endpoint_crash*> recent;
-    for (const auto& [incarnation, crash] : this->own_crashes) {
-        if (now - crash.at <= config::crash_report_time) {
-            recent.push_back(&crash);
+    for (const auto& [incarnation, own] : this->own_crashes) {
+        if (now - own.recorded_at <= config::crash_report_time) {
+            recent.push_back(&own.crash);
         }
     }
     std::sort(recent.begin(), recent.end(), [](const auto* left, const auto* right) { return left->at > right->at; });
@@ -334,7 +337,7 @@
     const steady_time oldest = now - config::new_trait_quarantine;
     std::erase_if(this->crashes, [oldest](const endpoint_crash& crash) { return crash.at < oldest; });
     std::erase_if(this->own_crashes,
-                  [now](const auto& crash) { return now - crash.second.at > config::crash_report_time; });
+                  [now](const auto& own) { return now - own.second.recorded_at > config::crash_report_time; });
     std::erase_if(this->own_responses,
                   [now](const auto& noted) { return now - noted.second > config::crash_report_time; });
     std::erase_if(this->known_quarantines, [oldest](const auto& held) { return held.second.until < oldest; });
--- a/src/direct/crash_quarantine.h
+++ b/src/direct/crash_quarantine.h
@@ -29,9 +29,15 @@
     /// Counts a caller's request.
     void record_request(const request_fingerprint& request);
     /// Records a response to the request; lifts the quarantine of its traits.
-    void record_response(const request_fingerprint& request);
+    void record_response(const request_fingerprint& request) { this->record_response(request, this->time.now()); }
+    /// @param at time of the response, some seconds ago at most
+    void record_response(const request_fingerprint& request, steady_time at);
     /// Records a run that a crash interrupted.
-    void record_crash(std::uint64_t incarnation, const lost_run& run);
+    void record_crash(std::uint64_t incarnation, const lost_run& run) {
+        this->record_crash(incarnation, run, this->time.now());
+    }
+    /// @param at time of the crash, some seconds ago at most
+    void record_crash(std::uint64_t incarnation, const lost_run& run, steady_time at);
 
     /// @returns true when `decide` has to be called: a crash was added, or was too recent at the last call
     [[nodiscard]] bool has_undecided() const;
@@ -65,6 +71,12 @@
     void drop_expired();
     [[nodiscard]] std::vector<log_field> describe(request_trait trait) const;
 
+    /// A crash that this process has observed.
+    struct own_crash {
+        endpoint_crash crash;
+        steady_time recorded_at; ///< may be later than the crash
+    };
+
     using trait_cache = Poco::LRUCache<request_trait, trait_record, Poco::NullMutex, Poco::NullMutex>;
 
     const clock& time;
@@ -77,7 +89,7 @@
     mutable trait_cache traits; ///< `mutable`: a lookup changes the order of use
     std::vector<endpoint_crash> crashes;
     std::map<request_trait, quarantine> known_quarantines; ///< including those that have expired
-    std::map<std::uint64_t, endpoint_crash> own_crashes;   ///< runs of this process only
+    std::map<std::uint64_t, own_crash> own_crashes;        ///< runs of this process only
     std::map<request_trait, steady_time> own_responses;    ///< traits of lost runs that had a response, with its time
     bool is_undecided{false};
 };
--- a/src/direct/crash_reporter.cpp
+++ b/src/direct/crash_reporter.cpp
@@ -19,11 +19,15 @@
     if (progress.events >= config::proven_events) {
         return;
     }
+    const steady_time lost_at = this->time.now();
     const endpoint_condition condition = this->prober.probe(endpoint.address);
+    const lost_run run{request.fingerprint, progress.has_begun};
+    if (condition != endpoint_condition::connection_refused) {
+        // The process may have crashed all the same. Until that is known, a response that seems complete does not
+        // show that the request is harmless.
+        this->monitor.watch({endpoint, run, progress.is_complete && progress.is_processed, lost_at, 0});
+    }
     if (progress.is_complete && condition == endpoint_condition::listening) {
-        if (progress.is_processed) {
-            this->on_response(request);
-        }
         return;
     }
     this->metrics.get_counter("direct_lost_runs_total", "endpoint=\"" + std::string{name_of(condition)} + "\"").add();
@@ -35,8 +39,7 @@
                                 {"segments", Poco::cat(std::string{","}, request.shared_segments.begin(),
                                                        request.shared_segments.end())}});
     if (condition == endpoint_condition::connection_refused) {
-        this->crashes.record_crash(hash64(endpoint.instance, endpoint.started_ms),
-                                   {request.fingerprint, progress.has_begun});
+        this->crashes.record_crash(hash64(endpoint.instance, endpoint.started_ms), run, lost_at);
         this->peers.send_crash_evidence();
     }
 }
--- a/src/direct/crash_reporter.h
+++ b/src/direct/crash_reporter.h
@@ -5,6 +5,7 @@
 #include "direct/crash_quarantine.h"
 #include "direct/direct_request.h"
 #include "direct/endpoint_prober.h"
+#include "direct/lost_run_monitor.h"
 #include "direct/peer_link.h"
 
 #include <string>
@@ -24,9 +25,11 @@
 
 class crash_reporter {
   public:
-    crash_reporter(endpoint_prober& endpoints, crash_quarantine& known_crashes, peer_link& link,
-                   structured_log& process_log, metrics_registry& process_metrics)
-        : prober(endpoints), crashes(known_crashes), peers(link), log(process_log), metrics(process_metrics) {}
+    crash_reporter(endpoint_prober& endpoints, crash_quarantine& known_crashes, lost_run_monitor& lost_runs,
+                   peer_link& link, const clock& time_source, structured_log& process_log,
+                   metrics_registry& process_metrics)
+        : prober(endpoints), crashes(known_crashes), monitor(lost_runs), peers(link), time(time_source),
+          log(process_log), metrics(process_metrics) {}
 
     void on_request(const direct_request& request) { this->crashes.record_request(request.fingerprint); }
     /// Called after a response that is the result of the request, or after `config::proven_events` events of a stream.
@@ -49,7 +52,9 @@
   private:
     endpoint_prober& prober;
     crash_quarantine& crashes;
+    lost_run_monitor& monitor;
     peer_link& peers;
+    const clock& time;
     structured_log& log;
     metrics_registry& metrics;
 };
--- a/src/direct/direct_daemon.cpp
+++ b/src/direct/direct_daemon.cpp
@@ -34,7 +34,8 @@
           watcher(*store, own, true, state, link, &crashes, context.time, context.log, context.metrics),
           cooldowns(context.time), budget(read_retry_limits(checked), context.time), connections(context.time),
           buffers(config::response_buffer_bytes), prober(config::endpoint_probe_timeout),
-          reporter(prober, crashes, link, context.log, context.metrics),
+          lost_runs(prober, state, crashes, link, context.time, context.log, context.metrics),
+          reporter(prober, crashes, lost_runs, link, context.time, context.log, context.metrics),
           admission(state, tracker, link, cooldowns, statements, context.random, context.time),
           forwarding{platform.headers(), admission,    connections, cooldowns,       budget,   buffers,   tracker,
                      context.random,     context.time, context.log, context.metrics, reporter, statements},
@@ -53,6 +54,7 @@
     connection_pool connections;
     buffer_budget buffers;
     tcp_endpoint_prober prober;
+    lost_run_monitor lost_runs;
     crash_reporter reporter;
     admission_queue admission;
     forwarding_parts forwarding;
--- a/tests/direct/direct_fixture.h
+++ b/tests/direct/direct_fixture.h
@@ -109,7 +109,10 @@
     connection_pool connections{this->time};
     buffer_budget buffers{config::response_buffer_bytes};
     tcp_endpoint_prober prober{config::endpoint_probe_timeout};
-    crash_reporter reporter{this->prober, this->crashes, this->link, this->log, this->metrics};
+    lost_run_monitor lost_runs{this->prober, this->state, this->crashes, this->link,
+                               this->time,   this->log,   this->metrics};
+    crash_reporter reporter{this->prober, this->crashes, this->lost_runs, this->link,
+                            this->time,   this->log,     this->metrics};
     admission_queue admission{this->state,      this->tracker, this->link, this->cooldowns,
                               this->statements, this->random,  this->time};
     forwarding_parts parts{this->names,   this->admission, this->connections, this->cooldowns, this->budget,
