Placement: a package for the decisions of direct forwarding

src/direct held connections, exchange and decisions.

Ruled out: moving admission_queue too, since it waits and holds the permits. direct_test and docs_test build and pass (docs_test run whole; direct_test as before the move).

--- a/src/direct/admission_queue.h
+++ b/src/direct/admission_queue.h
@@ -2,12 +2,12 @@
 
 #include "common/random_source.h"
 #include "direct/caller_connection_monitor.h"
-#include "direct/cooldown_tracker.h"
-#include "direct/endpoint_choice.h"
 #include "direct/endpoint_statements.h"
-#include "direct/load_tracker.h"
 #include "direct/peer_link.h"
 #include "direct/routing_state.h"
+#include "placement/cooldown_tracker.h"
+#include "placement/endpoint_choice.h"
+#include "placement/load_tracker.h"
 
 #include <pomelohoist/clock.h>
 
--- a/src/direct/direct_forwarder.h
+++ b/src/direct/direct_forwarder.h
@@ -6,13 +6,13 @@
 #include "direct/admission_queue.h"
 #include "direct/buffer_budget.h"
 #include "direct/connection_pool.h"
-#include "direct/cooldown_tracker.h"
 #include "direct/crash_reporter.h"
 #include "direct/direct_request.h"
 #include "direct/endpoint_statements.h"
 #include "direct/event_tracker.h"
-#include "direct/shared_retry_budget.h"
 #include "entry/response_sink.h"
+#include "placement/cooldown_tracker.h"
+#include "placement/shared_retry_budget.h"
 
 #include <pomelohoist/clock.h>
 #include <pomelohoist/error.h>
--- a/src/direct/direct_messages.h
+++ b/src/direct/direct_messages.h
@@ -3,9 +3,9 @@
 #include "direct/crash_messages.h"
 #include "direct/endpoint_list.h"
 #include "direct/endpoint_statements.h"
-#include "direct/load_tracker.h"
 #include "direct/routing_table.h"
 #include "inner/messages.h"
+#include "placement/load_tracker.h"
 
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
--- a/src/direct/endpoint_statements.h
+++ b/src/direct/endpoint_statements.h
@@ -2,8 +2,8 @@
 
 #include "common/log.h"
 #include "direct/endpoint_list.h"
-#include "direct/load_tracker.h"
-#include "direct/rate_bucket.h"
+#include "placement/load_tracker.h"
+#include "placement/rate_bucket.h"
 
 #include <pomelohoist/clock.h>
 
--- a/src/direct/peer_link.h
+++ b/src/direct/peer_link.h
@@ -5,10 +5,10 @@
 #include "direct/crash_quarantine.h"
 #include "direct/direct_messages.h"
 #include "direct/endpoint_statements.h"
-#include "direct/load_tracker.h"
 #include "direct/routing_state.h"
 #include "inner/codec.h"
 #include "inner/stream_server.h"
+#include "placement/load_tracker.h"
 
 #include <pomelohoist/clock.h>
 #include <pomelohoist/types.h>
--- a/src/direct/cooldown_tracker.cpp
+++ b/src/placement/cooldown_tracker.cpp
@@ -1,4 +1,4 @@
-#include "direct/cooldown_tracker.h"
+#include "placement/cooldown_tracker.h"
 
 #include <pomelohoist/config.h>
 
--- a/src/direct/cooldown_tracker.h
+++ b/src/placement/cooldown_tracker.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "direct/load_tracker.h"
+#include "placement/load_tracker.h"
 
 #include <pomelohoist/clock.h>
 
--- a/src/direct/endpoint_choice.cpp
+++ b/src/placement/endpoint_choice.cpp
@@ -1,4 +1,4 @@
-#include "direct/endpoint_choice.h"
+#include "placement/endpoint_choice.h"
 
 #include <algorithm>
 
--- a/src/direct/load_tracker.cpp
+++ b/src/placement/load_tracker.cpp
@@ -1,4 +1,4 @@
-#include "direct/load_tracker.h"
+#include "placement/load_tracker.h"
 
 #include "common/digest.h"
 
--- a/src/direct/rate_bucket.cpp
+++ b/src/placement/rate_bucket.cpp
@@ -1,4 +1,4 @@
-#include "direct/rate_bucket.h"
+#include "placement/rate_bucket.h"
 
 #include <pomelohoist/config.h>
 
--- a/src/direct/shared_retry_budget.cpp
+++ b/src/placement/shared_retry_budget.cpp
@@ -1,4 +1,4 @@
-#include "direct/shared_retry_budget.h"
+#include "placement/shared_retry_budget.h"
 
 #include <algorithm>
 
--- a/tests/direct/decision_test.cpp
+++ b/tests/direct/decision_test.cpp
@@ -1,10 +1,10 @@
-#include "direct/endpoint_choice.h"
 #include "direct/endpoint_list.h"
 #include "direct/event_tracker.h"
-#include "direct/load_tracker.h"
 #include "direct/routing_table.h"
-#include "direct/shared_retry_budget.h"
 #include "http/chunk_decoder.h"
+#include "placement/endpoint_choice.h"
+#include "placement/load_tracker.h"
+#include "placement/shared_retry_budget.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/direct/endpoint_limits_test.cpp
+++ b/tests/direct/endpoint_limits_test.cpp
@@ -1,6 +1,6 @@
 #include "direct/endpoint_statements.h"
-#include "direct/rate_bucket.h"
 #include "direct/update_schedule.h"
+#include "placement/rate_bucket.h"
 
 #include <pomelohoist/config.h>
 
--- a/tests/direct/load_exchange_test.cpp
+++ b/tests/direct/load_exchange_test.cpp
@@ -1,5 +1,5 @@
-#include "direct/load_tracker.h"
 #include "direct/update_schedule.h"
+#include "placement/load_tracker.h"
 
 #include <pomelohoist/config.h>
 
