--- a/src/direct/routing_table.h
+++ b/src/direct/routing_table.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "placement/engine_speed.h"
+
 #include <pomelohoist/error.h>
 
 #include <cereal/types/optional.hpp>
@@ -77,9 +79,10 @@
     std::string name;
     std::uint32_t max_connections{0}; ///< of one endpoint, from all callers together
     std::optional<expert_layout> experts;
+    std::optional<engine_speed> engine{}; ///< of one endpoint
 
     template <class Archive> void serialize(Archive& archive) {
-        archive(this->name, this->max_connections, this->experts);
+        archive(this->name, this->max_connections, this->experts, this->engine);
     }
     friend bool operator==(const service&, const service&) = default;
 };
--- a/tests/adapter/row_control_store_test.cpp
+++ b/tests/adapter/row_control_store_test.cpp
@@ -95,6 +95,17 @@
     EXPECT_EQ(next->content->limits.body_bytes, 100U);
 }
 
+// Guards against capacity that is calculated from a wrong speed of the engine, and against a declaration without one.
+TEST_F(row_control_store_test, the_speed_of_an_engine_is_read) {
+    this->platform.put("op", "config",
+                       R"({"version":3,"routes":[],"services":[{"name":"a","engine":{"step_ms":4.5,"per_seq_ms":0.4,)"
+                       R"("read_per_s":70000.0,"chunk":512,"stride":7}},{"name":"b"}]})");
+    const auto change = this->store.read_routing();
+    ASSERT_TRUE(change && change->content);
+    EXPECT_EQ(change->content->services.at(0).engine, (engine_speed{4.5, 0.4, 70000.0, 512, 7}));
+    EXPECT_EQ(change->content->services.at(1).engine, std::nullopt);
+}
+
 // Guards against reading an outage of the store as an empty table.
 TEST_F(row_control_store_test, an_outage_is_an_error) {
     this->platform.put("servers", "a", registration);
