--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -282,6 +282,25 @@
 // targets are 100 ms for a response without streaming and 400 ms for the first event of a stream.
 inline constexpr std::chrono::milliseconds longest_wait{150};
 inline constexpr std::chrono::milliseconds longest_stream_wait{1000};
+// Streams at services that declare the speed of their engines: pauses from this part of their target on limit the
+// number of streams, and pauses of this many times the target are stalls.
+inline constexpr int limiting_pause_percent = 70;
+inline constexpr int stall_pauses = 3;
+// Slow passes are remembered for this time, which exceeds the usual time between two changes of the demand for experts.
+inline constexpr std::chrono::milliseconds capacity_memory{5000};
+inline constexpr std::chrono::milliseconds capacity_period{250};
+// Endpoints are never limited to less than this part of their slots.
+inline constexpr double least_slot_share = 0.5;
+// Part of the limit that is kept for each level of more important requests, and for requests that can still meet their
+// latency target.
+inline constexpr double share_per_level = 0.1;
+inline constexpr std::uint32_t max_importance_levels = 3;
+inline constexpr double overdue_share = 0.1;
+inline constexpr std::chrono::seconds importance_memory{5};
+// The first event follows the admission after some two passes, each of which may take the target for a pause.
+inline constexpr int passes_to_first_event = 2;
+// Added to Retry-After when a stream finds no capacity: streams that run for some 2 s have ended then.
+inline constexpr std::chrono::milliseconds overload_pause{1000};
 // A group serves again some 0.6 s after its last rank has returned; callers abandon a stream after 2 s without an
 // event.
 inline constexpr std::chrono::milliseconds longest_reopen_wait{1200};
--- a/src/direct/admission_queue.cpp
+++ b/src/direct/admission_queue.cpp
@@ -3,6 +3,7 @@
 #include <pomelohoist/config.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace pomelohoist {
@@ -37,18 +38,17 @@
 
 admission_queue::admission_queue(routing_state& current_state, load_tracker& loads, peer_link& link,
                                  cooldown_tracker& recent_failures, endpoint_statements& stated,
-                                 random_source& randomness, const clock& time_source)
+                                 stream_capacity& carried_streams, random_source& randomness, const clock& time_source)
     : state(current_state), tracker(loads), peers(link), cooldowns(recent_failures), statements(stated),
-      random(randomness), time(time_source) {}
+      capacity(carried_streams), random(randomness), time(time_source) {}
 
-admission_result admission_queue::try_admit(const admission_request& request) {
-    const routing_snapshot snapshot = this->state.current();
+std::vector<endpoint_candidate> admission_queue::candidates_for(const admission_request& request,
+                                                                const endpoint_list& endpoints,
+                                                                std::string& statement) const {
     std::vector<endpoint_candidate> candidates;
-    std::string statement;
     const std::vector<net_address> closed = this->peers.closed_engines();
-    const std::size_t endpoint_count = snapshot.endpoints ? snapshot.endpoints->endpoints.size() : 0;
-    for (std::size_t i = 0; i < endpoint_count; ++i) {
-        const endpoint_record& record = snapshot.endpoints->endpoints[i];
+    for (std::size_t i = 0; i < endpoints.endpoints.size(); ++i) {
+        const endpoint_record& record = endpoints.endpoints[i];
         if (record.service != request.service || record.is_leaving) {
             continue;
         }
@@ -67,6 +67,41 @@
                               capacity_of(record.slots, request.is_stream), this->cooldowns.in_cooldown(digest),
                               was_tried, is_closed, !this->statements.has_room(digest), availability.pause_left});
     }
+    return candidates;
+}
+
+void admission_queue::limit_streams(const admission_request& request, std::vector<endpoint_candidate>& candidates) {
+    if (!request.is_stream || candidates.empty()) {
+        return;
+    }
+    double active = 0.0;
+    double slots = 0.0;
+    for (const endpoint_candidate& candidate : candidates) {
+        active += candidate.active;
+        slots += candidate.slots;
+    }
+    const auto count = static_cast<double>(candidates.size());
+    this->capacity.record_load(request.service, active / count);
+    const double limit = std::max(this->capacity.limit_of(request.service), config::least_slot_share * slots / count);
+    if (std::isinf(limit)) {
+        return;
+    }
+    const bool is_overdue = this->time.now() > request.in_time_until;
+    const bool has_room = active < limit * share_for(request.more_important, is_overdue) * count;
+    for (endpoint_candidate& candidate : candidates) {
+        candidate.capacity =
+            has_room ? std::min(candidate.capacity, static_cast<std::uint32_t>(std::ceil(limit)) + 1U) : 0U;
+    }
+}
+
+admission_result admission_queue::try_admit(const admission_request& request) {
+    const routing_snapshot snapshot = this->state.current();
+    std::string statement;
+    std::vector<endpoint_candidate> candidates;
+    if (snapshot.endpoints) {
+        candidates = this->candidates_for(request, *snapshot.endpoints, statement);
+    }
+    this->limit_streams(request, candidates);
     const endpoint_choice choice = choose_endpoint(candidates, this->random);
     if (!choice.index) {
         if (choice.pause_left > std::chrono::milliseconds{0}) {
@@ -96,9 +131,10 @@
     std::unique_lock lock{this->mutex};
     waiting_queue& queue = this->waiting_by_service[request.service];
     const waiting_key own{request.importance, this->next_number++};
-    queue.emplace(own, !request.tried.empty());
+    const auto position = queue.emplace(own, !request.tried.empty()).first;
     admission_result admission;
     while (true) {
+        position->second = position->second || this->time.now() > request.in_time_until;
         if (is_next(queue, own)) {
             admission = this->try_admit(request);
             // Waiting is useless when the time of the first endpoint that may serve is known and too late.
--- a/src/direct/admission_queue.h
+++ b/src/direct/admission_queue.h
@@ -8,6 +8,7 @@
 #include "placement/cooldown_tracker.h"
 #include "placement/endpoint_choice.h"
 #include "placement/load_tracker.h"
+#include "placement/stream_capacity.h"
 
 #include <pomelohoist/clock.h>
 
@@ -43,10 +44,12 @@
 struct admission_request {
     std::string service;
     bool is_stream{false};
-    std::uint32_t importance{0};    ///< 0 is the most important
-    std::vector<std::string> tried; ///< instances that this request was already sent to
-    steady_time until;              ///< latest time to wait for capacity
-    steady_time until_open;         ///< latest time to wait while no endpoint of the service serves
+    std::uint32_t importance{0};                   ///< 0 is the most important
+    std::vector<std::string> tried;                ///< instances that this request was already sent to
+    steady_time until;                             ///< latest time to wait for capacity
+    steady_time until_open;                        ///< latest time to wait while no endpoint of the service serves
+    steady_time in_time_until{steady_time::max()}; ///< admitted later, it misses its latency target
+    std::uint32_t more_important{0};               ///< levels of importance above its own that were asked for lately
 
     friend bool operator==(const admission_request&, const admission_request&) = default;
 };
@@ -75,8 +78,8 @@
 class admission_queue {
   public:
     admission_queue(routing_state& current_state, load_tracker& loads, peer_link& link,
-                    cooldown_tracker& recent_failures, endpoint_statements& stated, random_source& randomness,
-                    const clock& time_source);
+                    cooldown_tracker& recent_failures, endpoint_statements& stated, stream_capacity& carried_streams,
+                    random_source& randomness, const clock& time_source);
 
     /// Waits until the request is admitted, its time limit has passed or its caller has disconnected.
     admission_result acquire(const admission_request& request, caller_connection_monitor& caller);
@@ -92,10 +95,14 @@
         friend auto operator<=>(const waiting_key&, const waiting_key&) = default;
     };
 
-    /// Waiting requests of one service; the value is true for retries.
+    /// Waiting requests of one service; the value is true for those that do not hold up later ones.
     using waiting_queue = std::map<waiting_key, bool>;
 
     admission_result try_admit(const admission_request& request);
+    [[nodiscard]] std::vector<endpoint_candidate>
+    candidates_for(const admission_request& request, const endpoint_list& endpoints, std::string& statement) const;
+    /// Applies the limit of the service's streams to the candidates.
+    void limit_streams(const admission_request& request, std::vector<endpoint_candidate>& candidates);
     /// @returns true when capacity that becomes free is not for an earlier request
     static bool is_next(const waiting_queue& queue, const waiting_key& own);
 
@@ -104,6 +111,7 @@
     peer_link& peers;
     cooldown_tracker& cooldowns;
     endpoint_statements& statements;
+    stream_capacity& capacity;
     random_source& random;
     const clock& time;
     mutable std::mutex mutex;
--- a/src/direct/direct_daemon.cpp
+++ b/src/direct/direct_daemon.cpp
@@ -32,13 +32,27 @@
           link({own, true, platform.seeds(checked)}, state, tracker, &crashes, &statements, nullptr, context.time,
                context.log),
           watcher(*store, own, true, state, link, &crashes, context.time, context.log, context.metrics),
-          cooldowns(context.time), budget(read_retry_limits(checked), context.time), connections(context.time),
+          cooldowns(context.time), capacity(context.time), levels(context.time),
+          budget(read_retry_limits(checked), context.time), connections(context.time),
           buffers(config::response_buffer_bytes), prober(config::endpoint_probe_timeout),
           lost_runs(prober, state, crashes, link, context.time, context.log, context.metrics),
           reporter(prober, crashes, lost_runs, link, context.time, context.log, context.metrics),
-          admission(state, tracker, link, cooldowns, statements, context.random, context.time),
-          forwarding{platform.headers(), admission,    connections, cooldowns,       budget,   buffers,   tracker,
-                     context.random,     context.time, context.log, context.metrics, reporter, statements},
+          admission(state, tracker, link, cooldowns, statements, capacity, context.random, context.time),
+          forwarding{platform.headers(),
+                     admission,
+                     connections,
+                     cooldowns,
+                     budget,
+                     buffers,
+                     tracker,
+                     context.random,
+                     context.time,
+                     context.log,
+                     context.metrics,
+                     reporter,
+                     statements,
+                     capacity,
+                     levels},
           service(forwarding, state), server(checked.address("http.address"), service, state, context.time) {}
 
     const peer_record own;
@@ -50,6 +64,8 @@
     peer_link link;
     store_watcher watcher;
     cooldown_tracker cooldowns;
+    stream_capacity capacity;
+    importance_levels levels;
     shared_retry_budget budget;
     connection_pool connections;
     buffer_budget buffers;
--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -53,8 +53,9 @@
 
 direct_forwarder::direct_forwarder(const forwarding_parts& process_parts, const direct_request& resolved,
                                    response_sink& caller_response, caller_connection_monitor& caller_connection)
-    : parts(process_parts), request(resolved), sink(caller_response), caller(caller_connection),
-      events(resolved.raw.header("Last-Event-Id").value_or("")) {}
+    : parts(process_parts), request(resolved),
+      more_important(process_parts.levels.record(resolved.service, resolved.importance)), sink(caller_response),
+      caller(caller_connection), events(resolved.raw.header("Last-Event-Id").value_or("")) {}
 
 forwarding_outcome direct_forwarder::run() {
     this->parts.budget.record_request(this->request.service);
@@ -83,46 +84,6 @@
     }
 }
 
-std::optional<failure> direct_forwarder::acquire_permit() {
-    const failure quarantined{error_kind::trait_quarantined, "endpoints crashed while they ran such requests"};
-    if (this->is_quarantined()) {
-        return quarantined;
-    }
-    const steady_time now = this->parts.time.now();
-    // A retry may wait for capacity, or for a group that is being formed again, as long as the first send; the
-    // request's deadline bounds both waits.
-    const std::chrono::milliseconds longest = this->is_stream() ? config::longest_stream_wait : config::longest_wait;
-    const admission_request permit_request{this->request.service,
-                                           this->is_stream(),
-                                           this->request.importance,
-                                           this->outcome.endpoints,
-                                           std::min(now + longest, this->request.deadline),
-                                           std::min(now + config::longest_reopen_wait, this->request.deadline)};
-    admission_result admission = this->parts.admission.acquire(permit_request, this->caller);
-    if (admission.outcome == admission_outcome::admitted) {
-        // The quarantine may have begun while the request waited.
-        if (this->is_quarantined()) {
-            return quarantined;
-        }
-        this->permit = std::move(admission.permit);
-        return std::nullopt;
-    }
-    this->kept_back = std::move(admission.statement);
-    if (admission.outcome == admission_outcome::caller_disconnected) {
-        return failure{error_kind::timeout, "the caller has left"};
-    }
-    if (admission.outcome == admission_outcome::closed) {
-        return failure{error_kind::not_ready, "the groups of the service form anew"};
-    }
-    if (admission.outcome == admission_outcome::paused) {
-        this->pause_left = admission.pause_left;
-        return failure{error_kind::not_ready, "all endpoints of the service want a pause"};
-    }
-    return admission.outcome == admission_outcome::full
-               ? failure{error_kind::overloaded, "all endpoints of the service are full"}
-               : failure{error_kind::no_endpoint, "no endpoint of the service can be used"};
-}
-
 direct_forwarder::attempt_end direct_forwarder::attempt() {
     this->outcome.endpoints.push_back(this->permit->endpoint.instance);
     const attempt_end end = this->exchange();
@@ -373,9 +334,21 @@
         return attempt_end::failed;
     }
     this->events.begin_run();
+    const engine_speed* speed = this->engine();
+    std::optional<steady_time> last_event;
     while (true) {
         std::string piece;
         const exchange_state state = this->connection->read_body(piece, this->request.deadline, this->caller);
+        if (speed != nullptr && !piece.empty()) {
+            const steady_time now = this->parts.time.now();
+            if (last_event) {
+                this->parts.capacity.record_pause(
+                    this->request.service, *speed,
+                    std::chrono::duration_cast<std::chrono::milliseconds>(now - *last_event),
+                    std::chrono::milliseconds{this->request.matched_route->gap_target_ms});
+            }
+            last_event = now;
+        }
         if (!this->forward_events(response, this->events.extract_events(piece))) {
             this->outcome.reason = "the caller has left";
             return attempt_end::caller_disconnected;
--- a/src/direct/direct_forwarder.h
+++ b/src/direct/direct_forwarder.h
@@ -41,6 +41,8 @@
     metrics_registry& metrics;
     crash_reporter& crashes;
     endpoint_statements& statements;
+    stream_capacity& capacity;
+    importance_levels& levels;
 };
 
 /// How one request ended, for logs and metrics.
@@ -76,6 +78,7 @@
     };
 
     [[nodiscard]] bool is_quarantined() const { return this->parts.crashes.is_quarantined(this->request); }
+    [[nodiscard]] admission_request make_admission_request() const;
     /// @returns why no permit was acquired, or nothing on success
     std::optional<failure> acquire_permit();
     attempt_end attempt();
@@ -90,6 +93,8 @@
     [[nodiscard]] bool may_retry(attempt_end end);
     [[nodiscard]] bool is_stream() const { return this->request.matched_route->retry == retry_policy::stream; }
     [[nodiscard]] steady_time response_time_limit() const;
+    /// @returns the speed of the service's engines, for a route with a target for the pauses of streams
+    [[nodiscard]] const engine_speed* engine() const;
     /// Records what the endpoint states about itself.
     void record_statements(const http_response_head& response);
     attempt_end classify_exchange(exchange_state state, const char* phase);
@@ -102,6 +107,7 @@
 
     const forwarding_parts& parts;
     const direct_request& request;
+    const std::uint32_t more_important; ///< levels of importance above the request's
     response_sink& sink;
     caller_connection_monitor& caller;
     event_tracker events;
--- /dev/null
+++ b/src/placement/stream_capacity.cpp
@@ -0,0 +1,89 @@
+#include "placement/stream_capacity.h"
+
+#include <pomelohoist/config.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace pomelohoist {
+
+namespace {
+
+constexpr double unlimited = std::numeric_limits<double>::infinity();
+
+// A single stream may be delayed on its way. A pass delays all streams of a group, so that several show it.
+constexpr std::size_t agreeing_streams = 3;
+
+double milliseconds(std::chrono::milliseconds span) {
+    return static_cast<double>(span.count());
+}
+
+} // namespace
+
+double streams_within(const engine_speed& engine, const observed_pass& pass, std::chrono::milliseconds longest_pause) {
+    const double fixed_ms = engine.step_ms * engine.steps_per_pass;
+    const double variable_ms = milliseconds(pass.duration) - fixed_ms;
+    return variable_ms > 0.0 ? pass.load * std::max(milliseconds(longest_pause) - fixed_ms, 0.0) / variable_ms
+                             : unlimited;
+}
+
+void stream_capacity::record_load(const std::string& service, double streams) {
+    const std::lock_guard lock{this->mutex};
+    this->services[service].load = streams;
+}
+
+void stream_capacity::record_pause(const std::string& service, const engine_speed& engine,
+                                   std::chrono::milliseconds pause, std::chrono::milliseconds longest_pause) {
+    // Shorter passes do not limit anything, and longer pauses are stalls of a group, which fewer streams do not
+    // shorten.
+    if (pause < longest_pause * config::limiting_pause_percent / 100 || pause > longest_pause * config::stall_pauses) {
+        return;
+    }
+    const std::lock_guard lock{this->mutex};
+    measured_service& measured = this->services[service];
+    const steady_time now = this->time.now();
+    if (measured.periods.empty() || now - measured.periods.back().begin >= config::capacity_period) {
+        measured.periods.push_back({now, {}});
+    }
+    while (now - measured.periods.front().begin > config::capacity_memory) {
+        measured.periods.pop_front();
+    }
+    std::vector<double>& smallest = measured.periods.back().smallest;
+    const double carried = streams_within(engine, {pause, measured.load}, longest_pause);
+    smallest.insert(std::upper_bound(smallest.begin(), smallest.end(), carried), carried);
+    if (smallest.size() > agreeing_streams) {
+        smallest.pop_back();
+    }
+}
+
+double stream_capacity::limit_of(const std::string& service) const {
+    const std::lock_guard lock{this->mutex};
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return unlimited;
+    }
+    double least = unlimited;
+    for (const period& each : found->second.periods) {
+        const bool is_current = this->time.now() - each.begin <= config::capacity_memory;
+        if (is_current && each.smallest.size() == agreeing_streams) {
+            least = std::min(least, each.smallest.back());
+        }
+    }
+    return least;
+}
+
+double share_for(std::uint32_t more_important, bool is_overdue) {
+    const double levels = std::min(more_important, config::max_importance_levels);
+    return 1.0 - config::share_per_level * levels - (is_overdue ? config::overdue_share : 0.0);
+}
+
+std::uint32_t importance_levels::record(const std::string& service, std::uint32_t importance) {
+    const std::lock_guard lock{this->mutex};
+    const steady_time now = this->time.now();
+    std::map<std::uint32_t, steady_time>& levels = this->last_requests[service];
+    levels[importance] = now;
+    std::erase_if(levels, [now](const auto& level) { return now - level.second > config::importance_memory; });
+    return static_cast<std::uint32_t>(std::distance(levels.begin(), levels.find(importance)));
+}
+
+} // namespace pomelohoist
