--- a/src/direct/admission_queue.cpp
+++ b/src/direct/admission_queue.cpp
@@ -52,6 +52,10 @@
         if (record.service != request.service || record.is_leaving) {
             continue;
         }
+        if (snapshot.is_evacuated(record.data_centre)) {
+            statement = "data centre " + record.data_centre + " is evacuated";
+            continue;
+        }
         const endpoint_availability availability = this->statements.availability_of(record);
         if (availability.is_leaving || availability.pause_left > std::chrono::milliseconds{0}) {
             statement = to_text(record, availability);
--- a/src/direct/control_store.h
+++ b/src/direct/control_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "direct/endpoint_list.h"
+#include "direct/evacuation_list.h"
 #include "direct/request_fingerprint.h"
 #include "direct/routing_table.h"
 #include "direct/store_revision.h"
@@ -54,6 +55,7 @@
 struct routing_change {
     store_revision revision; ///< the next watch continues after this revision
     std::optional<routing_content> content;
+    std::vector<evacuation_change> evacuations{}; ///< after a watch: the changes; after a read: all in force
 
     friend bool operator==(const routing_change&, const routing_change&) = default;
 };
--- a/src/direct/direct_messages.h
+++ b/src/direct/direct_messages.h
@@ -3,6 +3,8 @@
 #include "direct/crash_messages.h"
 #include "direct/endpoint_list.h"
 #include "direct/endpoint_statements.h"
+#include "direct/evacuation_list.h"
+#include "direct/routing_state.h"
 #include "direct/routing_table.h"
 #include "inner/messages.h"
 #include "placement/load_tracker.h"
@@ -50,24 +52,25 @@
     std::optional<crash_evidence> evidence;
     std::vector<reported_limit> limits;
     std::vector<reported_leave> leaves;
+    std::optional<std::uint64_t> evacuations_revision; ///< absent while there has never been an evacuation
 
+    [[nodiscard]] routing_versions versions() const {
+        return {this->routing_version, this->endpoints_revision, this->evacuations_revision.value_or(0)};
+    }
     template <class Archive> void serialize(Archive& archive) {
         archive(this->sender, this->is_entry, this->sequence, this->routing_version, this->endpoints_revision,
                 this->store_age_ms, this->loads, this->local_rank, this->quarantine_summary, this->evidence,
-                this->limits, this->leaves);
+                this->limits, this->leaves, this->evacuations_revision);
     }
     friend bool operator==(const peer_update&, const peer_update&) = default;
 };
 
-/// Requests routing and endpoints newer than the sender's. Sent over TCP.
+/// Requests what is newer than the sender's versions. Sent over TCP.
 struct routing_pull_request {
     static constexpr message_type type = message_type::routing_pull_request;
-    std::uint64_t routing_version{0};
-    std::uint64_t endpoints_revision{0};
+    routing_versions known;
 
-    template <class Archive> void serialize(Archive& archive) {
-        archive(this->routing_version, this->endpoints_revision);
-    }
+    template <class Archive> void serialize(Archive& archive) { archive(this->known); }
     friend bool operator==(const routing_pull_request&, const routing_pull_request&) = default;
 };
 
@@ -77,9 +80,10 @@
     std::optional<routing_content> routing;
     std::optional<endpoint_list> endpoints;
     std::vector<reported_quarantine> quarantines; ///< all in force
+    std::optional<evacuation_list> evacuations;
 
     template <class Archive> void serialize(Archive& archive) {
-        archive(this->routing, this->endpoints, this->quarantines);
+        archive(this->routing, this->endpoints, this->quarantines, this->evacuations);
     }
     friend bool operator==(const routing_pull_response&, const routing_pull_response&) = default;
 };
--- a/src/direct/direct_service.cpp
+++ b/src/direct/direct_service.cpp
@@ -23,7 +23,12 @@
 } // namespace
 
 direct_service::direct_service(const forwarding_parts& shared_parts, const routing_state& current_state)
-    : parts(shared_parts), state(current_state), resolver(shared_parts.names, current_state) {}
+    : parts(shared_parts), state(current_state), resolver(shared_parts.names, current_state) {
+    this->parts.metrics.add_gauge("direct_evacuated_data_centres", [this] {
+        const routing_snapshot snapshot = this->state.current();
+        return snapshot.evacuations ? static_cast<double>(snapshot.evacuations->data_centres.size()) : 0.0;
+    });
+}
 
 void direct_service::serve(const raw_request& raw, steady_time arrived, response_sink& sink,
                            caller_connection_monitor& caller) {
--- a/src/direct/peer_link.cpp
+++ b/src/direct/peer_link.cpp
@@ -93,8 +93,11 @@
     update.is_entry = this->options.is_entry;
     update.sequence = this->next_sequence++;
     const routing_snapshot snapshot = this->state.current();
-    update.routing_version = snapshot.routing ? snapshot.routing->version() : 0;
-    update.endpoints_revision = snapshot.endpoints ? snapshot.endpoints->revision : 0;
+    update.routing_version = snapshot.versions().routing;
+    update.endpoints_revision = snapshot.versions().endpoints;
+    if (snapshot.evacuations) {
+        update.evacuations_revision = snapshot.evacuations->revision;
+    }
     const auto age = this->state.store_age();
     update.store_age_ms = age ? age->count() : -1;
     update.loads = this->tracker.own_loads();
@@ -379,16 +382,13 @@
         this->rank_among_live() < config::correcting_entries) {
         this->send_crash_evidence();
     }
-    const routing_snapshot snapshot = this->state.current();
-    const std::uint64_t routing = snapshot.routing ? snapshot.routing->version() : 0;
-    const std::uint64_t endpoints = snapshot.endpoints ? snapshot.endpoints->revision : 0;
+    const routing_versions known = this->state.current().versions();
     const bool has_quarantine = this->crashes != nullptr && update.quarantine_summary != 0 &&
                                 update.quarantine_summary != this->crashes->summary();
-    if (update.routing_version > routing || update.endpoints_revision > endpoints || has_quarantine) {
+    if (update.versions().has_newer_than(known) || has_quarantine) {
         this->request_pull(from);
-    } else if (update.store_age_ms >= 0 && update.routing_version == routing &&
-               update.endpoints_revision == endpoints) {
-        // When both versions are equal, the peer's last read of the store also confirms the routing state of this
+    } else if (update.store_age_ms >= 0 && update.versions() == known) {
+        // When all versions are equal, the peer's last read of the store also confirms the routing state of this
         // process, so the age of that read is adopted.
         this->state.record_store_read(std::chrono::milliseconds{update.store_age_ms});
     }
@@ -424,9 +424,7 @@
 }
 
 void peer_link::pull_from(const net_address& from) {
-    const routing_snapshot snapshot = this->state.current();
-    const inner::routing_pull_request request{snapshot.routing ? snapshot.routing->version() : 0,
-                                              snapshot.endpoints ? snapshot.endpoints->revision : 0};
+    const inner::routing_pull_request request{this->state.current().versions()};
     result<inner::routing_pull_response> response = inner::call_stream<inner::routing_pull_response>(
         from, this->options.own.name, request, config::state_pull_timeout);
     if (!response) {
@@ -434,6 +432,10 @@
         return;
     }
     bool is_new = false;
+    // Before the routing: a process becomes ready with its first routing.
+    if (response->evacuations) {
+        is_new = this->state.apply_evacuations(std::move(*response->evacuations));
+    }
     if (response->routing) {
         is_new = this->state.apply_routing(std::move(*response->routing)) || is_new;
     }
@@ -462,12 +464,15 @@
     }
     const routing_snapshot snapshot = this->state.current();
     inner::routing_pull_response response;
-    if (snapshot.routing && snapshot.routing->version() > request->routing_version) {
+    if (snapshot.versions().routing > request->known.routing) {
         response.routing = snapshot.routing->declared();
     }
-    if (snapshot.endpoints && snapshot.endpoints->revision > request->endpoints_revision) {
+    if (snapshot.versions().endpoints > request->known.endpoints) {
         response.endpoints = *snapshot.endpoints;
     }
+    if (snapshot.versions().evacuations > request->known.evacuations) {
+        response.evacuations = *snapshot.evacuations;
+    }
     if (this->crashes != nullptr) {
         response.quarantines = this->crashes->quarantines();
     }
--- a/src/direct/routing_state.cpp
+++ b/src/direct/routing_state.cpp
@@ -19,6 +19,11 @@
 
 } // namespace
 
+routing_versions routing_snapshot::versions() const {
+    return {this->routing ? this->routing->version() : 0, this->endpoints ? this->endpoints->revision : 0,
+            this->evacuations ? this->evacuations->revision : 0};
+}
+
 routing_snapshot routing_state::current() const {
     const std::lock_guard lock{this->mutex};
     return this->content;
@@ -110,6 +115,35 @@
     this->log_endpoints(*released, 0);
 }
 
+bool routing_state::apply_evacuations(evacuation_list list) {
+    auto next = std::make_shared<const evacuation_list>(std::move(list));
+    std::shared_ptr<const evacuation_list> previous;
+    {
+        const std::lock_guard lock{this->mutex};
+        previous = this->content.evacuations;
+        if (previous && previous->revision >= next->revision) {
+            return false;
+        }
+        this->content.evacuations = next;
+    }
+    this->log_evacuations(previous ? *previous : evacuation_list{}, *next);
+    return true;
+}
+
+void routing_state::log_evacuations(const evacuation_list& previous, const evacuation_list& next) {
+    const std::string revision = std::to_string(next.revision);
+    for (const std::string& name : next.data_centres) {
+        if (!previous.contains(name)) {
+            this->log.warn("data_centre_evacuated", {{"data_centre", name}, {"revision", revision}});
+        }
+    }
+    for (const std::string& name : previous.data_centres) {
+        if (!next.contains(name)) {
+            this->log.info("data_centre_returned", {{"data_centre", name}, {"revision", revision}});
+        }
+    }
+}
+
 void routing_state::log_endpoints(const endpoint_list& list, std::size_t departed) {
     const auto leaving = std::count_if(list.endpoints.begin(), list.endpoints.end(),
                                        [](const endpoint_record& record) { return record.is_leaving; });
--- a/src/direct/routing_state.h
+++ b/src/direct/routing_state.h
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "direct/departure_log.h"
 #include "direct/endpoint_list.h"
+#include "direct/evacuation_list.h"
 #include "direct/routing_table.h"
 
 #include <pomelohoist/clock.h>
@@ -12,14 +13,38 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 
-/// The routing declaration and the endpoint list that this process uses.
+/// The routing declaration, the endpoint list and the evacuations that this process uses.
 namespace pomelohoist {
 
+/// Versions of the parts of a snapshot; 0 for a part that the process does not have.
+struct routing_versions {
+    std::uint64_t routing{0};
+    std::uint64_t endpoints{0};
+    std::uint64_t evacuations{0};
+
+    /// @returns true when at least one part is newer than the other's
+    [[nodiscard]] bool has_newer_than(const routing_versions& other) const {
+        return this->routing > other.routing || this->endpoints > other.endpoints ||
+               this->evacuations > other.evacuations;
+    }
+    template <class Archive> void serialize(Archive& archive) {
+        archive(this->routing, this->endpoints, this->evacuations);
+    }
+    friend bool operator==(const routing_versions&, const routing_versions&) = default;
+};
+
 /// Immutable copy, with which one request is resolved. Each part is null until the process has received it.
 struct routing_snapshot {
     std::shared_ptr<const routing_table> routing;
     std::shared_ptr<const endpoint_list> endpoints;
+    std::shared_ptr<const evacuation_list> evacuations; ///< also null while there has never been an evacuation
+
+    [[nodiscard]] routing_versions versions() const;
+    [[nodiscard]] bool is_evacuated(const std::string& data_centre) const {
+        return this->evacuations && this->evacuations->contains(data_centre);
+    }
 };
 
 /// Applies only newer versions, so that a late reader or a slow peer cannot replace the current version by an older
@@ -34,6 +59,8 @@
     /// A list of a new era of the store comes from an older copy: endpoints that had left before are not used again.
     /// @returns false when the same or a newer list is already in use
     bool apply_endpoints(endpoint_list list);
+    /// @returns false when the same or a newer list is already in use
+    bool apply_evacuations(evacuation_list list);
     /// Called with the era of each response of the store. A higher era than before means that the store was restored.
     void observe_era(std::uint64_t era);
     /// @returns when this process learned of the last restore of the store, if any
@@ -52,6 +79,7 @@
     /// @returns true when the store was restored; requires the mutex
     bool record_era(std::uint64_t era);
     void log_endpoints(const endpoint_list& list, std::size_t departed);
+    void log_evacuations(const evacuation_list& previous, const evacuation_list& next);
 
     const clock& time;
     structured_log& log;
--- a/src/direct/store_watcher.cpp
+++ b/src/direct/store_watcher.cpp
@@ -192,9 +192,10 @@
 }
 
 bool store_watcher::read_routing() {
+    const bool is_full = !this->routing_revision;
     const result<routing_change> change =
-        this->routing_revision ? this->store.watch_routing(*this->routing_revision, config::store_watch_wait)
-                               : this->store.read_routing();
+        is_full ? this->store.read_routing()
+                : this->store.watch_routing(*this->routing_revision, config::store_watch_wait);
     if (!change) {
         if (this->is_history_dropped(change.last_error(), "routing")) {
             this->routing_revision.reset();
@@ -206,12 +207,38 @@
     this->record_call(done{}, "read_routing");
     this->state.observe_era(change->revision.era);
     this->routing_revision = change->revision;
+    // Before the routing: a process becomes ready with its first routing.
+    this->apply_evacuations(*change, is_full);
     if (change->content) {
         this->state.apply_routing(*change->content);
     }
     return true;
 }
 
+void store_watcher::apply_evacuations(const routing_change& change, bool is_full) {
+    if (is_full) {
+        this->evacuated.clear();
+    }
+    for (const evacuation_change& each : change.evacuations) {
+        if (each.is_evacuated) {
+            this->evacuated.insert(each.data_centre);
+        } else {
+            this->evacuated.erase(each.data_centre);
+        }
+    }
+    evacuation_list list{make_list_revision(change.revision, 0), {this->evacuated.begin(), this->evacuated.end()}};
+    const routing_snapshot current = this->state.current();
+    // Compared after each read, since a peer may have sent a list that was taken back before this process began to
+    // read. A list without any evacuation is needed only in place of another list.
+    const bool is_changed = current.evacuations
+                                ? current.evacuations->data_centres != list.data_centres ||
+                                      era_of_list(current.evacuations->revision) != era_of_list(list.revision)
+                                : !list.data_centres.empty();
+    if (is_changed) {
+        this->state.apply_evacuations(std::move(list));
+    }
+}
+
 bool store_watcher::read_endpoints() {
     if (!this->endpoints_revision) {
         const result<endpoint_snapshot> snapshot = this->store.read_endpoints();
--- a/src/direct/store_watcher.h
+++ b/src/direct/store_watcher.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -50,6 +51,8 @@
     bool read_changes();
     bool read_routing();
     bool read_endpoints();
+    /// @param is_full true when the change contains all evacuations in force
+    void apply_evacuations(const routing_change& change, bool is_full);
     /// Adopts the stored quarantines, at the start and then from time to time if this process is the reader. The reader
     /// also stores those that have begun or ended.
     void sync_quarantines(bool is_reader);
@@ -87,6 +90,7 @@
     bool has_quarantines_failed{false};
     std::optional<store_revision> routing_revision;
     std::optional<store_revision> endpoints_revision;
+    std::set<std::string> evacuated;                  ///< data centres, as read by this process
     std::uint64_t delayed_removal_count{0};           ///< delayed removals that were applied at `endpoints_revision`
     std::map<std::string, endpoint_record> endpoints; ///< by instance, as read by this process
     /// Removal times, by instance, of endpoints that the store dropped while it was not reliable.
--- a/tests/adapter/platform_programs_test.cpp
+++ b/tests/adapter/platform_programs_test.cpp
@@ -127,6 +127,30 @@
     EXPECT_TRUE(wait_until([&entry] { return entry.call().status == 404; }, 2s));
 }
 
+// Guards against requests to an evacuated data centre, from the entry that reads the store and from one that only
+// learns of the evacuation from that entry, and against an evacuation that outlasts its row.
+TEST_F(platform_programs_test, nothing_is_sent_to_an_evacuated_data_centre) {
+    this->declare(declaration);
+    this->register_endpoint("i-1", this->endpoint.address());
+    running_entry first{"e1", this->platform.address()};
+    running_entry second{"e2", this->platform.address()};
+    for (running_entry* entry : {&first, &second}) {
+        ASSERT_TRUE(wait_until([entry] { return entry->is_ready() && entry->call().status == 200; }, 5s));
+    }
+    this->platform.put("op", "evacuate/z", "{}");
+    std::this_thread::sleep_for(2s);
+    const std::size_t sent = this->endpoint.requests().size();
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(first.call().status, 503);
+        EXPECT_EQ(second.call().status, 503);
+    }
+    EXPECT_EQ(this->endpoint.requests().size(), sent) << "requests have reached the data centre";
+    this->platform.remove("op", "evacuate/z");
+    for (running_entry* entry : {&first, &second}) {
+        EXPECT_TRUE(wait_until([entry] { return entry->call().status == 200; }, 2s));
+    }
+}
+
 // Guards against a rank process that exits while its engine or the store is unreachable.
 TEST_F(platform_programs_test, a_rank_process_keeps_running_without_engine_and_store) {
     this->platform.set_behaviour(store_behaviour::resets);
--- a/tests/adapter/row_control_store_test.cpp
+++ b/tests/adapter/row_control_store_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <unistd.h>
@@ -95,6 +96,31 @@
     EXPECT_EQ(next->content->limits.body_bytes, 100U);
 }
 
+// Guards against evacuations that are not read, or that stay in force after their row has been removed, with and
+// without a declaration in the store.
+TEST_F(row_control_store_test, reads_evacuations) {
+    using changes = std::vector<evacuation_change>;
+    this->platform.put("op", "evacuate/z-1", "{}");
+    const auto read = this->store.read_routing();
+    ASSERT_TRUE(read);
+    EXPECT_FALSE(read->content);
+    EXPECT_EQ(read->evacuations, (changes{{"z-1", true}}));
+    this->platform.put("op", "evacuate/z-2", "{}");
+    this->platform.remove("op", "evacuate/z-1");
+    const auto watched = this->store.watch_routing(read->revision, std::chrono::milliseconds{100});
+    ASSERT_TRUE(watched);
+    // The stand-in reports changes by key, and the platform by version.
+    changes in_order = watched->evacuations;
+    std::sort(in_order.begin(), in_order.end(),
+              [](const auto& left, const auto& right) { return left.data_centre < right.data_centre; });
+    EXPECT_EQ(in_order, (changes{{"z-1", false}, {"z-2", true}}));
+    this->platform.put("op", "config", R"({"version":9,"routes":[],"services":[]})");
+    const auto full = this->store.read_routing();
+    ASSERT_TRUE(full);
+    EXPECT_TRUE(full->content);
+    EXPECT_EQ(full->evacuations, (changes{{"z-2", true}}));
+}
+
 // Guards against reading an outage of the store as an empty table.
 TEST_F(row_control_store_test, an_outage_is_an_error) {
     this->platform.put("servers", "a", registration);
--- a/tests/direct/spread_fixture.h
+++ b/tests/direct/spread_fixture.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 
 /// Processes that distribute routing and endpoints, in the test's process, with an in-memory store.
 namespace pomelohoist {
@@ -45,6 +46,8 @@
     std::map<std::string, endpoint_record> endpoints;
     std::vector<stored_quarantine> quarantines;
     std::vector<std::pair<std::uint64_t, endpoint_change>> history;
+    std::set<std::string> evacuated;
+    std::vector<std::pair<std::uint64_t, evacuation_change>> evacuation_history;
 };
 
 /// An in-memory store whose contents tests can change. Tests can make it unavailable, compact its history, and restore
@@ -62,7 +65,13 @@
         return this->call<std::vector<peer_record>>([&] { return this->stored.peers; });
     }
     result<routing_change> read_routing() override {
-        return this->call<routing_change>([&] { return routing_change{this->newest(), this->stored.routing}; });
+        return this->call<routing_change>([&] {
+            routing_change change{this->newest(), this->stored.routing};
+            for (const std::string& name : this->stored.evacuated) {
+                change.evacuations.push_back({name, true});
+            }
+            return change;
+        });
     }
     result<routing_change> watch_routing(const store_revision& after, std::chrono::milliseconds /*wait*/) override {
         std::this_thread::sleep_for(std::chrono::milliseconds{20});
@@ -70,9 +79,16 @@
             return failure{error_kind::stale_configuration, "gone"};
         }
         return this->call<routing_change>([&] {
-            return routing_change{this->newest(), this->stored.routing_revision > after.number
-                                                      ? std::optional{this->stored.routing}
-                                                      : std::nullopt};
+            routing_change change{this->newest(), std::nullopt};
+            if (this->stored.routing_revision > after.number) {
+                change.content = this->stored.routing;
+            }
+            for (const auto& [at, evacuation] : this->stored.evacuation_history) {
+                if (at > after.number) {
+                    change.evacuations.push_back(evacuation);
+                }
+            }
+            return change;
         });
     }
     result<endpoint_snapshot> read_endpoints() override {
@@ -142,6 +158,17 @@
         this->stored.routing_revision = ++this->stored.revision;
     }
 
+    void evacuate(const std::string& data_centre) {
+        const std::lock_guard lock{this->mutex};
+        this->stored.evacuated.insert(data_centre);
+        this->stored.evacuation_history.push_back({++this->stored.revision, {data_centre, true}});
+    }
+    void take_back(const std::string& data_centre) {
+        const std::lock_guard lock{this->mutex};
+        this->stored.evacuated.erase(data_centre);
+        this->stored.evacuation_history.push_back({++this->stored.revision, {data_centre, false}});
+    }
+
     [[nodiscard]] store_content copy() {
         const std::lock_guard lock{this->mutex};
         return this->stored;
@@ -218,6 +245,10 @@
         return snapshot.endpoints ? snapshot.endpoints->endpoints.size() : 0;
     }
 
+    [[nodiscard]] bool is_evacuated(const std::string& data_centre) const {
+        return this->state.current().is_evacuated(data_centre);
+    }
+
     static std::uint16_t free_port() {
         const Poco::Net::ServerSocket probe{Poco::Net::SocketAddress{"127.0.0.1", 0}};
         return probe.address().port();
