--- a/src/direct/admission_queue.cpp
+++ b/src/direct/admission_queue.cpp
@@ -43,12 +43,13 @@
       capacity(carried_streams), random(randomness), time(time_source) {}
 
 std::vector<endpoint_candidate> admission_queue::candidates_for(const admission_request& request,
-                                                                const endpoint_list& endpoints,
+                                                                const routing_snapshot& snapshot,
                                                                 std::string& statement) const {
     std::vector<endpoint_candidate> candidates;
     const std::vector<net_address> closed = this->peers.closed_engines();
-    for (std::size_t i = 0; i < endpoints.endpoints.size(); ++i) {
-        const endpoint_record& record = endpoints.endpoints[i];
+    const std::size_t endpoint_count = snapshot.endpoints ? snapshot.endpoints->endpoints.size() : 0;
+    for (std::size_t i = 0; i < endpoint_count; ++i) {
+        const endpoint_record& record = snapshot.endpoints->endpoints[i];
         if (record.service != request.service || record.is_leaving) {
             continue;
         }
@@ -101,10 +102,7 @@
 admission_result admission_queue::try_admit(const admission_request& request) {
     const routing_snapshot snapshot = this->state.current();
     std::string statement;
-    std::vector<endpoint_candidate> candidates;
-    if (snapshot.endpoints) {
-        candidates = this->candidates_for(request, *snapshot.endpoints, statement);
-    }
+    std::vector<endpoint_candidate> candidates = this->candidates_for(request, snapshot, statement);
     this->limit_streams(request, candidates);
     const endpoint_choice choice = choose_endpoint(candidates, this->random);
     if (!choice.index) {
--- a/src/direct/admission_queue.h
+++ b/src/direct/admission_queue.h
@@ -100,7 +100,7 @@
 
     admission_result try_admit(const admission_request& request);
     [[nodiscard]] std::vector<endpoint_candidate>
-    candidates_for(const admission_request& request, const endpoint_list& endpoints, std::string& statement) const;
+    candidates_for(const admission_request& request, const routing_snapshot& snapshot, std::string& statement) const;
     /// Applies the limit of the service's streams to the candidates.
     void limit_streams(const admission_request& request, std::vector<endpoint_candidate>& candidates);
     /// @returns true when capacity that becomes free is not for an earlier request
