--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -289,13 +289,11 @@
 // Slow passes are remembered for this time, which exceeds the usual time between two changes of the demand for experts.
 inline constexpr std::chrono::milliseconds capacity_memory{5000};
 inline constexpr std::chrono::milliseconds capacity_period{250};
-// Endpoints are never limited to less than this part of their slots.
+// Less important streams may always use this part of the slots.
 inline constexpr double least_slot_share = 0.5;
-// Part of the limit that is kept for each level of more important requests, and for requests that can still meet their
-// latency target.
+// Part of the limit that is kept for each level of more important requests.
 inline constexpr double share_per_level = 0.1;
 inline constexpr std::uint32_t max_importance_levels = 3;
-inline constexpr double overdue_share = 0.1;
 inline constexpr std::chrono::seconds importance_memory{5};
 // The first event follows the admission after some two passes, each of which may take the target for a pause.
 inline constexpr int passes_to_first_event = 2;
--- a/src/direct/admission_queue.cpp
+++ b/src/direct/admission_queue.cpp
@@ -3,7 +3,6 @@
 #include <pomelohoist/config.h>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace pomelohoist {
@@ -87,15 +86,12 @@
     }
     const auto count = static_cast<double>(candidates.size());
     this->capacity.record_load(request.service, active / count);
-    const double limit = std::max(this->capacity.limit_of(request.service), config::least_slot_share * slots / count);
-    if (std::isinf(limit)) {
-        return;
-    }
-    const bool is_overdue = this->time.now() > request.in_time_until;
-    const bool has_room = active < limit * share_for(request.more_important, is_overdue) * count;
-    for (endpoint_candidate& candidate : candidates) {
-        candidate.capacity =
-            has_room ? std::min(candidate.capacity, static_cast<std::uint32_t>(std::ceil(limit)) + 1U) : 0U;
+    const double room =
+        count * room_for(this->capacity.limit_of(request.service), slots / count, request.more_important);
+    if (active >= room) {
+        for (endpoint_candidate& candidate : candidates) {
+            candidate.capacity = 0;
+        }
     }
 }
 
@@ -133,10 +129,9 @@
     std::unique_lock lock{this->mutex};
     waiting_queue& queue = this->waiting_by_service[request.service];
     const waiting_key own{request.importance, this->next_number++};
-    const auto position = queue.emplace(own, !request.tried.empty()).first;
+    queue.emplace(own, !request.tried.empty());
     admission_result admission;
     while (true) {
-        position->second = position->second || this->time.now() > request.in_time_until;
         if (is_next(queue, own)) {
             admission = this->try_admit(request);
             // Waiting is useless when the time of the first endpoint that may serve is known and too late.
--- a/src/direct/admission_queue.h
+++ b/src/direct/admission_queue.h
@@ -44,12 +44,11 @@
 struct admission_request {
     std::string service;
     bool is_stream{false};
-    std::uint32_t importance{0};                   ///< 0 is the most important
-    std::vector<std::string> tried;                ///< instances that this request was already sent to
-    steady_time until;                             ///< latest time to wait for capacity
-    steady_time until_open;                        ///< latest time to wait while no endpoint of the service serves
-    steady_time in_time_until{steady_time::max()}; ///< admitted later, it misses its latency target
-    std::uint32_t more_important{0};               ///< levels of importance above its own that were asked for lately
+    std::uint32_t importance{0};     ///< 0 is the most important
+    std::vector<std::string> tried;  ///< instances that this request was already sent to
+    steady_time until;               ///< latest time to wait for capacity
+    steady_time until_open;          ///< latest time to wait while no endpoint of the service serves
+    std::uint32_t more_important{0}; ///< levels of importance above its own, for streams of services with a limit
 
     friend bool operator==(const admission_request&, const admission_request&) = default;
 };
@@ -95,7 +94,7 @@
         friend auto operator<=>(const waiting_key&, const waiting_key&) = default;
     };
 
-    /// Waiting requests of one service; the value is true for those that do not hold up later ones.
+    /// Waiting requests of one service; the value is true for retries.
     using waiting_queue = std::map<waiting_key, bool>;
 
     admission_result try_admit(const admission_request& request);
--- a/src/direct/forwarder_admission.cpp
+++ b/src/direct/forwarder_admission.cpp
@@ -25,17 +25,15 @@
                            this->outcome.endpoints,
                            std::min(now + longest, this->request.deadline),
                            std::min(now + config::longest_reopen_wait, this->request.deadline)};
-    if (this->engine() == nullptr) {
-        return made;
+    if (this->engine() != nullptr && this->more_important > 0) {
+        // A less important stream that is admitted later than this misses its latency target.
+        const route& matched = *this->request.matched_route;
+        const std::chrono::milliseconds target{matched.latency_target_ms};
+        const std::chrono::milliseconds to_first_event{config::passes_to_first_event * matched.gap_target_ms};
+        const std::chrono::milliseconds useful = std::max(target - to_first_event, config::longest_wait);
+        made.until = std::min(made.until, now + useful);
+        made.more_important = this->more_important;
     }
-    const route& matched = *this->request.matched_route;
-    const std::chrono::milliseconds target{matched.latency_target_ms};
-    const std::chrono::milliseconds to_first_event{config::passes_to_first_event * matched.gap_target_ms};
-    const std::chrono::milliseconds timeout{matched.timeout_ms};
-    // A caller that has used up some of its time comes back after a refusal; its target counts from the first attempt.
-    const steady_time first_arrival = std::min(this->request.arrived, this->request.deadline - timeout);
-    made.in_time_until = first_arrival + std::max(target - to_first_event, std::chrono::milliseconds{0});
-    made.more_important = this->more_important;
     return made;
 }
 
@@ -64,7 +62,7 @@
         this->pause_left = admission.pause_left;
         return failure{error_kind::not_ready, "all endpoints of the service want a pause"};
     }
-    if (admission.outcome == admission_outcome::full && this->engine() != nullptr) {
+    if (admission.outcome == admission_outcome::full && this->engine() != nullptr && this->more_important > 0) {
         this->pause_left = config::overload_pause;
         this->parts.metrics
             .get_counter("direct_streams_without_room_total",
--- a/src/placement/stream_capacity.cpp
+++ b/src/placement/stream_capacity.cpp
@@ -72,9 +72,12 @@
     return least;
 }
 
-double share_for(std::uint32_t more_important, bool is_overdue) {
+double room_for(double limit, double slots, std::uint32_t more_important) {
+    if (more_important == 0) {
+        return unlimited;
+    }
     const double levels = std::min(more_important, config::max_importance_levels);
-    return 1.0 - config::share_per_level * levels - (is_overdue ? config::overdue_share : 0.0);
+    return std::max(limit * (1.0 - config::share_per_level * levels), slots * config::least_slot_share);
 }
 
 std::uint32_t importance_levels::record(const std::string& service, std::uint32_t importance) {
--- a/src/placement/stream_capacity.h
+++ b/src/placement/stream_capacity.h
@@ -60,12 +60,14 @@
     std::map<std::string, measured_service> services;
 };
 
-/// Share of the limit up to which a request is admitted, so that room is left for others that are worth more to their
-/// callers. Load: requests of different importance that together exceed the limit, at many entries, none of which
-/// knows what waits at the others.
+/// Streams at an endpoint, on average, up to which a request is admitted, so that room is left for more important ones.
+/// Load: requests of different importance that together exceed the limit, at many entries, none of which knows what
+/// waits at the others.
+/// @param limit mean number of streams that an endpoint may have
+/// @param slots mean number of requests that an endpoint processes at once
 /// @param more_important number of levels of importance above the request's that have been asked for lately
-/// @param is_overdue the request can no longer meet its latency target
-double share_for(std::uint32_t more_important, bool is_overdue);
+/// @returns infinity for the most important requests: refusing these would help no one who matters more
+double room_for(double limit, double slots, std::uint32_t more_important);
 
 /// The levels of importance that are asked for at one service. Thread-safe.
 class importance_levels {
