HTTP: keep no connection whose request was not received whole

Callers: after an early response (413 to a body of 4 MB), the connection was kept although the endpoint had not received the rest of the body. The next request on it waits behind megabytes that the endpoint may never read, and the endpoint holds a connection that nobody uses. In blocked_write_test.an_early_response_is_forwarded_at_once, the second caller got 504 in place of 413, since the endpoint still held the first connection.

Cause: http_connection took a request for sent when the kernel had taken its bytes. On loopback the kernel takes 3.92 MB at once and often the remaining 81 kB before the response is read; then nothing was left to send, and the connection was kept. The response itself was always read and forwarded at once.

Change: a connection is kept only if the server's host has acknowledged the whole request (SIOCOUTQ) when its response is complete, otherwise it is reset. Whether it is kept is decided once, at the end of the response: a request that is sent whole between two pieces of the body no longer costs the connection.

Tests: the endpoint of the test is a class now. The bounds are as before; it also expects that both connections are reset, and reports a lost connection as a failure in place of an uncaught exception. New: an_early_response_to_a_buffered_request_is_forwarded_at_once, 1 MB, on unsafe and safe routes.

Not run: x86-64.

--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -11,8 +11,10 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <poll.h>
 #include <sstream>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace pomelohoist {
@@ -112,6 +114,15 @@
     return true;
 }
 
+bool http_connection::is_request_delivered() const {
+    // A request that was not sent whole would be continued by the next one. The kernel may still hold megabytes of a
+    // request that the server has responded to early; the next request would wait behind them. A server that has
+    // received the whole request has acknowledged it with its response at the latest.
+    int unacknowledged = 0;
+    return !this->is_sending() && ::ioctl(this->socket.impl()->sockfd(), SIOCOUTQ, &unacknowledged) == 0 &&
+           unacknowledged == 0;
+}
+
 exchange_state http_connection::wait_for_bytes(steady_time until, cancellation& cancel) {
     const int own = this->socket.impl()->sockfd();
     bool can_send = true;
@@ -280,13 +291,14 @@
 exchange_state http_connection::read_body(std::string& piece, steady_time until, cancellation& cancel) {
     while (true) {
         const std::optional<exchange_state> body_state = this->extract_body(piece);
-        if (body_state) {
+        if (body_state == exchange_state::complete) {
             // Bytes received after the end of the response belong to no request. On a reused connection they would be
             // taken for the beginning of the next response.
-            // A request that was not sent whole would be continued by the next one.
-            this->can_reuse = this->can_reuse && this->received.empty() && !this->has_ended && !this->is_sending();
-            this->is_response_pending =
-                this->is_response_pending && (*body_state != exchange_state::complete || this->is_sending());
+            const bool is_delivered = this->is_request_delivered();
+            this->can_reuse = this->can_reuse && this->received.empty() && !this->has_ended && is_delivered;
+            this->is_response_pending = this->is_response_pending && !is_delivered;
+        }
+        if (body_state) {
             return *body_state;
         }
         if (this->has_ended) {
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -86,6 +86,8 @@
     /// @returns false when the connection was lost
     bool flush();
     [[nodiscard]] bool is_sending() const { return this->sent < this->outgoing.size(); }
+    /// @returns true when the server's host has acknowledged the whole request
+    [[nodiscard]] bool is_request_delivered() const;
     exchange_state wait_for_bytes(steady_time until, cancellation& cancel);
     /// @returns nothing when no bytes have arrived
     std::optional<exchange_state> receive();
--- a/tests/direct/blocked_write_test.cpp
+++ b/tests/direct/blocked_write_test.cpp
@@ -112,34 +112,84 @@
     EXPECT_TRUE(is_idle_within(entry, 500ms));
 }
 
-// Guards against a response that is held back because its endpoint sent it before it read the request whole, and
-// against a connection that is used again in the middle of that request.
-TEST(blocked_write_test, an_early_response_is_forwarded_at_once) {
-    const Poco::Net::ServerSocket listener{Poco::Net::SocketAddress{"127.0.0.1", 0}};
-    std::atomic<int> heads{0};
-    std::thread endpoint{[&] {
-        for (int i = 0; i < 2; ++i) {
-            Poco::Net::StreamSocket accepted = Poco::Net::ServerSocket{listener}.acceptConnection();
+/// Responds with 413 to the first bytes of each connection, reads no more, and waits until the connection is reset.
+class early_responder {
+  public:
+    explicit early_responder(int expected_connections) {
+        this->thread = std::thread{[this, expected_connections] {
+            for (int i = 0; i < expected_connections; ++i) {
+                this->respond();
+            }
+        }};
+    }
+    ~early_responder() { this->join(); }
+    early_responder(const early_responder&) = delete;
+    early_responder& operator=(const early_responder&) = delete;
+
+    [[nodiscard]] net_address address() const { return {"127.0.0.1", this->listener.address().port()}; }
+    /// @returns the number of connections that began with a request
+    [[nodiscard]] int heads() const { return this->received_heads; }
+    /// @returns the number of connections that were reset within 3 s of the response
+    [[nodiscard]] int resets() const { return this->seen_resets; }
+    void join() {
+        if (this->thread.joinable()) {
+            this->thread.join();
+        }
+    }
+
+  private:
+    void respond() {
+        try {
+            if (!this->listener.poll(Poco::Timespan{4, 0}, Poco::Net::Socket::SELECT_READ)) {
+                return; // the entry sends the request on another connection
+            }
+            Poco::Net::StreamSocket accepted = this->listener.acceptConnection();
             accepted.setReceiveBufferSize(small_buffer_bytes);
             std::string request(8192, '\0');
             request.resize(static_cast<std::size_t>(accepted.receiveBytes(request.data(), 8192)));
-            heads += request.starts_with("POST ") ? 1 : 0;
+            this->received_heads += request.starts_with("POST ") ? 1 : 0;
             const std::string response = test_support::full_response_to(request, 413, "too large");
             accepted.sendBytes(response.data(), static_cast<int>(response.size()));
-            accepted.poll(Poco::Timespan{3, 0}, Poco::Net::Socket::SELECT_ERROR);
+            this->seen_resets += accepted.poll(Poco::Timespan{3, 0}, Poco::Net::Socket::SELECT_ERROR) ? 1 : 0;
+        } catch (const Poco::Exception& error) {
+            ADD_FAILURE() << "the endpoint lost its connection: " << error.displayText();
         }
-    }};
-    direct_entry entry{{{"127.0.0.1", listener.address().port()}}};
+    }
+
+    Poco::Net::ServerSocket listener{Poco::Net::SocketAddress{"127.0.0.1", 0}};
+    std::atomic<int> received_heads{0};
+    std::atomic<int> seen_resets{0};
+    std::thread thread;
+};
+
+void expect_early_responses(const std::string& path, std::size_t body_bytes) {
+    early_responder endpoint{2};
+    direct_entry entry{{endpoint.address()}};
     for (int i = 0; i < 2; ++i) {
         const auto began = std::chrono::steady_clock::now();
         const http_response response =
-            entry.call("POST", "/unsafe/x", std::string(large_bytes, 'x'), {{"X-Pomelohoist-Deadline-Ms", "6000"}});
+            entry.call("POST", path, std::string(body_bytes, 'x'), {{"X-Pomelohoist-Deadline-Ms", "6000"}});
         EXPECT_EQ(response.status, 413);
         EXPECT_EQ(response.body, "too large");
         EXPECT_LT(std::chrono::steady_clock::now() - began, 4s);
     }
     endpoint.join();
-    EXPECT_EQ(heads, 2);
+    EXPECT_EQ(endpoint.heads(), 2);
+    EXPECT_EQ(endpoint.resets(), 2);
+}
+
+// Guards against a response that is held back because its endpoint sent it before it read the request whole, and
+// against a connection that is used again in the middle of that request.
+TEST(blocked_write_test, an_early_response_is_forwarded_at_once) {
+    expect_early_responses("/unsafe/x", large_bytes);
+}
+
+// Guards against the same where the kernel has taken the whole request, but the endpoint's host has not received it.
+// The connection would be kept, and the next request would wait behind the rest.
+TEST(blocked_write_test, an_early_response_to_a_buffered_request_is_forwarded_at_once) {
+    constexpr std::size_t buffered_bytes = 1000000; // more than an endpoint's buffer, less than the kernel's
+    expect_early_responses("/unsafe/x", buffered_bytes);
+    expect_early_responses("/safe/x", buffered_bytes);
 }
 
 // Guards against a caller that reads nothing and thereby holds a thread and a whole response for ever.
