Map switch: choose the lead by the steps of the current load

A switch was scheduled ahead by the average step time from before the load changed, plus a spare step; the first one of a term by the largest lead. When the load has changed, steps take twice as long or more, so the group ran on the map that does not fit for up to 0.5 s after all ranks had prepared the new one, while arming took 0.06 to 0.1 s.

The steps are now counted from the last read of all ranks until the hold, the first arming is estimated from the duration of that read, and no spare step is added: a step that waits for the rest of the arming delays streams less than another whole step on the earlier map. A refused hold is retried further ahead. The order of prepare, hold, arm and go is unchanged.

--- a/src/ranks/map_coordinator.cpp
+++ b/src/ranks/map_coordinator.cpp
@@ -94,8 +94,7 @@
 
 bool map_coordinator::switch_to(const std::vector<rank_state>& states, const std::vector<std::uint32_t>& planned) {
     const steady_time planned_at = this->time.now();
-    const map_switcher::outcome outcome = this->switcher.switch_to(
-        states, this->shape, planned, std::chrono::duration<double, std::milli>{this->step_ms}, *this);
+    const map_switcher::outcome outcome = this->switcher.switch_to(states, this->shape, planned, *this);
     if (outcome == map_switcher::outcome::switched) {
         this->switches.add();
         this->current_slots = planned;
--- a/src/ranks/map_switcher.cpp
+++ b/src/ranks/map_switcher.cpp
@@ -93,8 +93,11 @@
 
 std::optional<std::vector<rank_state>> map_switcher::read_states() {
     std::vector<result<rank_state>> read(this->group.size(), failure{error_kind::unreachable, "not read"});
+    const steady_time started_at = this->time.now();
     this->sweep.for_each(this->group.size(),
                          [this, &read](std::uint32_t rank) { read[rank] = this->group.rank(rank).read_state(); });
+    this->states_read_at = this->time.now();
+    this->sweep_time = this->states_read_at - started_at;
     this->reachable.clear();
     for (const result<rank_state>& state : read) {
         if (state) {
@@ -114,6 +117,7 @@
         states.push_back(*state);
     }
     this->logged_unreadable.clear();
+    this->last_read_step = latest_step(states);
     if (!states.empty()) {
         this->record_epoch(states);
     }
@@ -208,12 +212,12 @@
         this->log.info("map_switch_resumed",
                        {{"version", std::to_string(armed->version)}, {"step", std::to_string(armed->step)}});
         // A hold at a step other than the armed one belongs to no switch, so it can also end once all ranks are armed.
-        this->complete(epoch, *armed, held.value_or(held_step{this->hold_rank, armed->step}), false);
+        this->complete(epoch, *armed, held.value_or(held_step{this->hold_rank, armed->step}), false, this->time.now());
     } else if (all_prepared) {
         // A rank may still execute an earlier `arm` command, so the switch must complete before the hold ends.
         this->log.info("map_switch_resumed",
                        {{"version", std::to_string(prepared)}, {"step", std::to_string(held->step)}});
-        this->complete(epoch, {prepared, held->step}, *held, true);
+        this->complete(epoch, {prepared, held->step}, *held, true, this->time.now());
     } else {
         // A coordinator arms ranks only after all ranks are prepared, so no switch is armed at the held step.
         this->log.info("stray_hold_released", {{"step", std::to_string(held->step)}});
@@ -223,9 +227,7 @@
 }
 
 map_switcher::outcome map_switcher::switch_to(const std::vector<rank_state>& states, const expert_shape& shape,
-                                              const std::vector<std::uint32_t>& slots,
-                                              std::chrono::duration<double, std::milli> step_time,
-                                              switch_monitor& monitor) {
+                                              const std::vector<std::uint32_t>& slots, switch_monitor& monitor) {
     const std::uint64_t epoch = states.front().epoch;
     rank_command command = this->make_command(rank_command_kind::prepare, epoch, {++this->last_version, 0});
     command.layers = shape.layers;
@@ -241,13 +243,14 @@
         return phase_outcome;
     }
     this->log.info("map_prepared", {{"version", std::to_string(version)}});
-    const std::optional<std::uint64_t> step = this->hold(epoch, this->choose_lead(step_time));
+    const steady_time prepared_at = this->time.now();
+    const std::optional<std::uint64_t> step = this->hold(epoch);
     if (!step) {
         this->log.info("map_switch_not_started",
                        {{"version", std::to_string(version)}, {"reason", "the rank reported no hold"}});
         return outcome::not_begun;
     }
-    phase_outcome = this->complete(epoch, {version, *step}, {this->hold_rank, *step}, true);
+    phase_outcome = this->complete(epoch, {version, *step}, {this->hold_rank, *step}, true, prepared_at);
     if (phase_outcome == outcome::switched) {
         this->last_switched = version;
     }
@@ -295,25 +298,24 @@
     return outcome::not_begun;
 }
 
-std::uint64_t map_switcher::choose_lead(std::chrono::duration<double, std::milli> step_time) const {
-    const std::uint64_t limit = max_lead_for(this->group.size());
-    if (!this->arming_time || step_time.count() <= 0.0) {
-        return limit;
-    }
-    // One step is in progress, and one is a reserve for steps that are shorter than usual.
-    constexpr std::uint64_t spare_steps = 2;
-    const double steps = std::ceil(*this->arming_time / step_time);
-    return steps < static_cast<double>(limit) ? std::min(limit, spare_steps + static_cast<std::uint64_t>(steps))
-                                              : limit;
+switch_pace map_switcher::pace_at(std::uint64_t step) const {
+    // Until an arming was measured: a command to all ranks, a read of all, and calls to the rank of the hold.
+    constexpr double sweeps_to_arm = 3.0;
+    // Steps take longer from the moment at which the load changes, so earlier steps are not counted.
+    return {this->arming_time.value_or(sweeps_to_arm * this->sweep_time), this->time.now() - this->states_read_at,
+            step - std::min(step, this->last_read_step)};
 }
 
-std::optional<std::uint64_t> map_switcher::hold(std::uint64_t epoch, std::uint64_t lead) {
+std::optional<std::uint64_t> map_switcher::hold(std::uint64_t epoch) {
     for (std::uint32_t attempt = 0; attempt < config::rank_command_attempts; ++attempt) {
         const result<rank_state> before = this->group.rank(this->hold_rank).read_state();
         if (!before || before->epoch != epoch) {
             return std::nullopt;
         }
-        const std::uint64_t step = before->step + lead;
+        // A hold is refused when its step has begun, as after a report that is some steps old.
+        const std::uint64_t limit = max_lead_for(this->group.size());
+        const std::uint64_t step =
+            before->step + std::min(choose_lead(this->pace_at(before->step), limit) + attempt, limit);
         this->record_target_step(step);
         const command_outcome hold_outcome =
             this->send_to(this->hold_rank, this->make_command(rank_command_kind::hold, epoch, {0, step}));
@@ -330,10 +332,9 @@
 }
 
 map_switcher::outcome map_switcher::complete(std::uint64_t epoch, const armed_switch& target, const held_step& hold,
-                                             bool may_abandon) {
+                                             bool may_abandon, steady_time started_at) {
     this->record_target_step(target.step);
     const rank_command arm = this->make_command(rank_command_kind::arm, epoch, target);
-    const steady_time started_at = this->time.now();
     outcome arming = this->arm_ranks(arm, {hold.rank}, may_abandon);
     if (arming == outcome::not_begun) {
         this->log.info("map_switch_not_started",
--- a/src/ranks/map_switcher.h
+++ b/src/ranks/map_switcher.h
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "ranks/rank_engine.h"
 #include "ranks/rank_sweep.h"
+#include "ranks/switch_lead.h"
 
 #include <pomelohoist/clock.h>
 #include <pomelohoist/expert_balance.h>
@@ -79,10 +80,9 @@
     void release_unarmed_hold(const expert_shape& shape);
     /// Switches all ranks to a new map.
     /// @param slots experts in the order layer, rank, slot
-    /// @param step_time duration of a step, or 0 when it is unknown
+    /// @param states result of the last call of `read_states`
     outcome switch_to(const std::vector<rank_state>& states, const expert_shape& shape,
-                      const std::vector<std::uint32_t>& slots, std::chrono::duration<double, std::milli> step_time,
-                      switch_monitor& monitor);
+                      const std::vector<std::uint32_t>& slots, switch_monitor& monitor);
     /// @returns true when another coordinator has taken over
     [[nodiscard]] bool is_superseded() const { return this->is_fenced; }
     /// @returns version of the last map that this process has switched to in this epoch, or 0
@@ -104,16 +104,17 @@
     /// @returns `switched` as the success value (the switch itself is still to come), otherwise the reason of the
     /// failure
     outcome wait_prepared(std::uint64_t epoch, std::uint64_t version, switch_monitor& monitor);
-    /// @returns number of steps by which to schedule a switch ahead, so that arming ends before the target step
-    [[nodiscard]] std::uint64_t choose_lead(std::chrono::duration<double, std::milli> step_time) const;
+    /// @param step current step
+    [[nodiscard]] switch_pace pace_at(std::uint64_t step) const;
     /// Holds a future step.
-    /// @param lead number of steps from the current step to the held one
     /// @returns the step, or nothing when the rank reports no hold of it
-    std::optional<std::uint64_t> hold(std::uint64_t epoch, std::uint64_t lead);
+    std::optional<std::uint64_t> hold(std::uint64_t epoch);
     /// Arms all ranks, then ends the hold.
+    /// @param started_at when the hold was requested, or when an unfinished switch was found
     /// @param may_abandon no rank is armed yet: if the rank of the hold has discarded the map, the hold ends without a
     /// switch
-    outcome complete(std::uint64_t epoch, const armed_switch& target, const held_step& hold, bool may_abandon);
+    outcome complete(std::uint64_t epoch, const armed_switch& target, const held_step& hold, bool may_abandon,
+                     steady_time started_at);
     /// Sends `arm` to the ranks until all of them report that they are armed.
     /// @param may_abandon gives up when a rank has discarded the map
     outcome arm_ranks(const rank_command& arm, std::vector<std::uint32_t> ranks, bool may_abandon);
@@ -138,8 +139,11 @@
     pause_source& pauser;
     const clock& time;
     structured_log& log;
-    /// Duration of the last arming of all ranks; empty before the first one.
+    /// Duration of the last hold and arming of all ranks; empty before the first one.
     std::optional<std::chrono::duration<double, std::milli>> arming_time;
+    std::chrono::duration<double, std::milli> sweep_time{0.0}; ///< duration of the last read of all ranks
+    steady_time states_read_at{};
+    std::uint64_t last_read_step{0};   ///< latest step of any rank in the last read of all
     std::vector<rank_state> reachable; ///< states of the ranks that responded to the last read of all
     std::string logged_unreadable;     ///< last logged rank and reason; empty while the group can be read
     std::uint64_t token{0};
--- a/tests/ranks/map_switcher_test.cpp
+++ b/tests/ranks/map_switcher_test.cpp
@@ -153,6 +153,33 @@
     EXPECT_GE(deployment.group.steps + 2, possible);
 }
 
+// Guards against steps on a map that does not fit, while a better one is prepared: a switch must not wait for more
+// steps than arming takes. Arming takes less than one of these steps.
+TEST(map_switcher_test, a_prepared_map_is_used_two_steps_later) {
+    coordinated_group deployment{group_faults{}, 7};
+    simulated_group& group = deployment.group;
+    group.step_ms = 150;
+    std::uint64_t seen_switches = 0;
+    std::optional<std::uint64_t> steps_at_hold;
+    std::vector<std::uint64_t> waits; // steps from each hold to its switch
+    group.before_call = [&] {
+        if (steps_at_hold && group.switches > seen_switches) {
+            waits.push_back(group.steps - *steps_at_hold);
+            steps_at_hold.reset();
+        }
+        if (!steps_at_hold && group.is_held()) {
+            seen_switches = group.switches;
+            steps_at_hold = group.steps;
+        }
+    };
+    deployment.run_term(40);
+    ASSERT_GT(waits.size(), 5U);
+    // One more step may have begun between the hold and the next call.
+    EXPECT_LE(waits.front(), 3U);
+    EXPECT_LE(*std::max_element(waits.begin() + 1, waits.end()), 3U);
+    EXPECT_EQ(group.mixed_steps, 0U);
+}
+
 // Guards against a group that stays on the first map after a power loss: a coordinator that has read the group while it
 // formed must switch in the first round after some steps.
 TEST(map_switcher_test, a_group_that_forms_anew_gets_its_map_in_the_first_round) {
@@ -247,12 +274,10 @@
     }
     const auto states = newer.read_states();
     ASSERT_TRUE(states);
-    ASSERT_EQ(newer.switch_to(*states, small_shape, slots, std::chrono::milliseconds{50}, monitor),
-              map_switcher::outcome::switched);
+    ASSERT_EQ(newer.switch_to(*states, small_shape, slots, monitor), map_switcher::outcome::switched);
     const auto seen = older.read_states();
     ASSERT_TRUE(seen);
-    EXPECT_EQ(older.switch_to(*seen, small_shape, slots, std::chrono::milliseconds{50}, monitor),
-              map_switcher::outcome::fenced);
+    EXPECT_EQ(older.switch_to(*seen, small_shape, slots, monitor), map_switcher::outcome::fenced);
 }
 
 // Guards against a coordinator that arms ranks, or holds the group, after the rank of its hold has discarded the map.
@@ -301,6 +326,18 @@
     EXPECT_EQ(group.mixed_steps, 0U);
 }
 
+// Guards against leads that are derived from the faster steps of an earlier load, and against a step that waits for
+// ranks to be armed.
+TEST(switch_lead_test, covers_the_arming_with_whole_steps) {
+    using namespace std::chrono_literals;
+    EXPECT_EQ(choose_lead({80ms, 400ms, 3}, 9), 2U);  // steps of 100 to 200 ms
+    EXPECT_EQ(choose_lead({80ms, 400ms, 8}, 9), 3U);  // steps of some 50 ms
+    EXPECT_EQ(choose_lead({220ms, 400ms, 8}, 9), 6U); // commands were retried
+    EXPECT_EQ(choose_lead({80ms, 400ms, 0}, 9), 2U);  // an idle group
+    EXPECT_EQ(choose_lead({900ms, 100ms, 2}, 9), 9U);
+    EXPECT_EQ(choose_lead({80ms, 0ms, 0}, 9), 9U); // nothing was observed
+}
+
 // Guards against a map that a rank refuses, or that makes it copy experts.
 TEST(map_around_test, is_valid_and_keeps_the_experts_of_the_rank) {
     const rank_experts held{3, {{5, 1, 7}, {0, 4}}};
--- a/tests/ranks/simulated_group.cpp
+++ b/tests/ranks/simulated_group.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::uint64_t step_ms = 50;
 constexpr std::uint64_t copy_ms = 400;
 constexpr std::uint64_t call_ms = 2;
 constexpr std::uint64_t timeout_ms = 120;
@@ -254,7 +253,7 @@
             static_cast<void>(this->execute(entry->rank, entry->command, false));
             entry = this->late_commands.erase(entry);
         }
-        if (this->is_open && !this->is_idle && this->now_ms % step_ms == 0) {
+        if (this->is_open && !this->is_idle && this->now_ms % this->step_ms == 0) {
             this->begin_step();
         }
     }
--- a/tests/ranks/simulated_group.h
+++ b/tests/ranks/simulated_group.h
@@ -55,6 +55,7 @@
     std::uint64_t steps{0};
     std::uint64_t switches{0}; ///< steps at which the map changed
     std::uint64_t epochs{1};
+    std::uint64_t step_ms{50};  ///< duration of a step
     bool is_open{true};         ///< false while the group forms; the group begins no step then
     std::vector<double> demand; ///< selections per step in units of 10, in the order layer, expert
 
