Placement: short prompts avoid endpoints that read long ones

Cause: entries choose endpoints by their running requests. An engine reads prompts one after the other, so a short prompt placed behind a long one waits for it, while other endpoints have nothing to read.

Change: each entry tracks the prompt tokens that it has placed and that are not read yet, and reports them with its load (one optional member of peer_update). Among endpoints of similar load, choose_endpoint takes those that read the prompt soonest, at random among equals. Services without an engine description are placed as before. request_done and the metric direct_prompt_wait_ms show the prediction, and first_event_ms and longest_gap_ms the result.

--- a/src/direct/admission_queue.cpp
+++ b/src/direct/admission_queue.cpp
@@ -15,6 +15,12 @@
            outcome == admission_outcome::paused;
 }
 
+/// @returns prompt tokens that an endpoint of the service reads per second, or 0 when its declaration does not say
+double reading_rate_of(const routing_snapshot& snapshot, const std::string& service_name) {
+    const service* declared = snapshot.routing ? snapshot.routing->find_service(service_name) : nullptr;
+    return declared != nullptr && declared->engine ? declared->engine->read_tokens_per_s : 0.0;
+}
+
 std::string to_text(const endpoint_record& endpoint, const endpoint_availability& stated) {
     return "endpoint " + endpoint.instance + (stated.is_leaving ? " leaves" : " wants a pause") + ", stated " +
            std::to_string(stated.age.count()) + " ms ago to " +
@@ -23,28 +29,37 @@
 
 } // namespace
 
-endpoint_permit::endpoint_permit(endpoint_record endpoint_info, load_tracker& loads, peer_link& link)
-    : endpoint(std::move(endpoint_info)), digest(digest_of_instance(this->endpoint.instance)), tracker(loads),
-      peers(link) {
+endpoint_permit::endpoint_permit(endpoint_record endpoint_info, load_tracker& loads, unread_prompts& unread,
+                                 peer_link& link, std::uint32_t tokens, double tokens_per_s)
+    : endpoint(std::move(endpoint_info)), digest(digest_of_instance(this->endpoint.instance)),
+      prompt_wait(unread.reading_time(this->digest, tokens_per_s)), tracker(loads), prompts(unread), peers(link),
+      prompt(unread.begin(this->digest, tokens, tokens_per_s)) {
     this->tracker.begin(this->digest);
     this->peers.send_load();
 }
 
 endpoint_permit::~endpoint_permit() {
+    this->record_read();
     this->tracker.end(this->digest);
     this->peers.send_load();
 }
 
-admission_queue::admission_queue(routing_state& current_state, load_tracker& loads, peer_link& link,
-                                 cooldown_tracker& recent_failures, endpoint_statements& stated,
+void endpoint_permit::record_read() {
+    // The next update reports it. Until then, the other entries predict when the prompt is read.
+    this->prompts.end(this->digest, this->prompt);
+}
+
+admission_queue::admission_queue(routing_state& current_state, load_tracker& loads, unread_prompts& unread,
+                                 peer_link& link, cooldown_tracker& recent_failures, endpoint_statements& stated,
                                  random_source& randomness, const clock& time_source)
-    : state(current_state), tracker(loads), peers(link), cooldowns(recent_failures), statements(stated),
-      random(randomness), time(time_source) {}
+    : state(current_state), tracker(loads), prompts(unread), peers(link), cooldowns(recent_failures),
+      statements(stated), random(randomness), time(time_source) {}
 
 admission_result admission_queue::try_admit(const admission_request& request) {
     const routing_snapshot snapshot = this->state.current();
     std::vector<endpoint_candidate> candidates;
     std::string statement;
+    const double tokens_per_s = reading_rate_of(snapshot, request.service);
     const std::vector<net_address> closed = this->peers.closed_engines();
     const std::size_t endpoint_count = snapshot.endpoints ? snapshot.endpoints->endpoints.size() : 0;
     for (std::size_t i = 0; i < endpoint_count; ++i) {
@@ -65,7 +80,8 @@
         const bool is_closed = std::find(closed.begin(), closed.end(), record.address) != closed.end();
         candidates.push_back({i, this->tracker.total(digest), record.slots,
                               capacity_of(record.slots, request.is_stream), this->cooldowns.in_cooldown(digest),
-                              was_tried, is_closed, !this->statements.has_room(digest), availability.pause_left});
+                              was_tried, is_closed, !this->statements.has_room(digest), availability.pause_left,
+                              this->prompts.reading_time(digest, tokens_per_s)});
     }
     const endpoint_choice choice = choose_endpoint(candidates, this->random);
     if (!choice.index) {
@@ -83,7 +99,9 @@
     const endpoint_record& chosen = snapshot.endpoints->endpoints[*choice.index];
     // Before the permit is created: its constructor sends the update that contains this request.
     this->statements.record_request(digest_of_instance(chosen.instance));
-    return {admission_outcome::admitted, std::make_unique<endpoint_permit>(chosen, this->tracker, this->peers), {}, {}};
+    auto permit = std::make_unique<endpoint_permit>(chosen, this->tracker, this->prompts, this->peers,
+                                                    request.prompt_tokens, tokens_per_s);
+    return {admission_outcome::admitted, std::move(permit), {}, {}};
 }
 
 bool admission_queue::is_next(const waiting_queue& queue, const waiting_key& own) {
--- a/src/direct/admission_queue.h
+++ b/src/direct/admission_queue.h
@@ -8,6 +8,7 @@
 #include "placement/cooldown_tracker.h"
 #include "placement/endpoint_choice.h"
 #include "placement/load_tracker.h"
+#include "placement/unread_prompts.h"
 
 #include <pomelohoist/clock.h>
 
@@ -26,17 +27,26 @@
 /// Permit to use one unit of an endpoint's capacity, held until the request has ended there.
 class endpoint_permit {
   public:
-    endpoint_permit(endpoint_record endpoint_info, load_tracker& loads, peer_link& link);
+    /// @param tokens of the request's prompt
+    /// @param tokens_per_s rate at which the endpoint reads prompts, or 0 when it is unknown
+    endpoint_permit(endpoint_record endpoint_info, load_tracker& loads, unread_prompts& unread, peer_link& link,
+                    std::uint32_t tokens, double tokens_per_s);
     ~endpoint_permit();
     endpoint_permit(const endpoint_permit&) = delete;
     endpoint_permit& operator=(const endpoint_permit&) = delete;
 
+    /// Records that the endpoint has read the prompt of the request.
+    void record_read();
+
     const endpoint_record endpoint;
     const endpoint_digest digest;
+    const std::chrono::microseconds prompt_wait; ///< until the endpoint reads the prompt, as predicted
 
   private:
     load_tracker& tracker;
+    unread_prompts& prompts;
     peer_link& peers;
+    unread_prompts::prompt_id prompt;
 };
 
 /// Properties of a request that decide about its admission.
@@ -47,6 +57,7 @@
     std::vector<std::string> tried; ///< instances that this request was already sent to
     steady_time until;              ///< latest time to wait for capacity
     steady_time until_open;         ///< latest time to wait while no endpoint of the service serves
+    std::uint32_t prompt_tokens{0}; ///< 0 when unknown
 
     friend bool operator==(const admission_request&, const admission_request&) = default;
 };
@@ -74,7 +85,7 @@
 /// these up. Thread-safe.
 class admission_queue {
   public:
-    admission_queue(routing_state& current_state, load_tracker& loads, peer_link& link,
+    admission_queue(routing_state& current_state, load_tracker& loads, unread_prompts& unread, peer_link& link,
                     cooldown_tracker& recent_failures, endpoint_statements& stated, random_source& randomness,
                     const clock& time_source);
 
@@ -101,6 +112,7 @@
 
     routing_state& state;
     load_tracker& tracker;
+    unread_prompts& prompts;
     peer_link& peers;
     cooldown_tracker& cooldowns;
     endpoint_statements& statements;
--- a/src/direct/direct_daemon.cpp
+++ b/src/direct/direct_daemon.cpp
@@ -27,16 +27,16 @@
 struct direct_parts {
     direct_parts(const settings& checked, const daemon_context& context, direct_platform& platform)
         : own{checked.text("process.name"), checked.address("inner.address")}, state(context.time, context.log),
-          tracker(context.time), crashes(context.time, context.log, context.metrics),
+          tracker(context.time), prompts(context.time), crashes(context.time, context.log, context.metrics),
           statements(context.time, context.log), store(platform.connect_store(checked, context.log)),
-          link({own, true, platform.seeds(checked)}, state, tracker, &crashes, &statements, nullptr, context.time,
-               context.log),
+          link({own, true, platform.seeds(checked)}, state, tracker, &crashes, &statements, &prompts, nullptr,
+               context.time, context.log),
           watcher(*store, own, true, state, link, &crashes, context.time, context.log, context.metrics),
           cooldowns(context.time), budget(read_retry_limits(checked), context.time), connections(context.time),
           buffers(config::response_buffer_bytes), prober(config::endpoint_probe_timeout),
           lost_runs(prober, state, crashes, link, context.time, context.log, context.metrics),
           reporter(prober, crashes, lost_runs, link, context.time, context.log, context.metrics),
-          admission(state, tracker, link, cooldowns, statements, context.random, context.time),
+          admission(state, tracker, prompts, link, cooldowns, statements, context.random, context.time),
           forwarding{platform.headers(), admission,    connections, cooldowns,       budget,   buffers,   tracker,
                      context.random,     context.time, context.log, context.metrics, reporter, statements},
           service(forwarding, state), server(checked.address("http.address"), service, state, context.time) {}
@@ -44,6 +44,7 @@
     const peer_record own;
     routing_state state;
     load_tracker tracker;
+    unread_prompts prompts;
     crash_quarantine crashes;
     endpoint_statements statements;
     std::unique_ptr<control_store> store;
--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -97,7 +97,8 @@
                                            this->request.importance,
                                            this->outcome.endpoints,
                                            std::min(now + longest, this->request.deadline),
-                                           std::min(now + config::longest_reopen_wait, this->request.deadline)};
+                                           std::min(now + config::longest_reopen_wait, this->request.deadline),
+                                           this->request.prompt_tokens};
     admission_result admission = this->parts.admission.acquire(permit_request, this->caller);
     if (admission.outcome == admission_outcome::admitted) {
         // The quarantine may have begun while the request waited.
@@ -105,6 +106,7 @@
             return quarantined;
         }
         this->permit = std::move(admission.permit);
+        this->outcome.prompt_wait = this->permit->prompt_wait;
         return std::nullopt;
     }
     this->kept_back = std::move(admission.statement);
@@ -351,10 +353,25 @@
     return attempt_end::responded;
 }
 
+void direct_forwarder::record_events() {
+    // An endpoint sends the first event after it has read the prompt.
+    this->permit->record_read();
+    const steady_time now = this->parts.time.now();
+    if (!this->outcome.first_event) {
+        this->outcome.first_event = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->request.arrived);
+    } else {
+        this->outcome.longest_gap =
+            std::max(this->outcome.longest_gap,
+                     std::chrono::duration_cast<std::chrono::milliseconds>(now - this->last_event_at));
+    }
+    this->last_event_at = now;
+}
+
 bool direct_forwarder::forward_events(const http_response_head& response, const std::string& event_bytes) {
     if (event_bytes.empty()) {
         return true;
     }
+    this->record_events();
     if (!this->has_started_stream) {
         this->has_started_stream = true;
         this->outcome.status = response.status;
--- a/src/direct/direct_forwarder.h
+++ b/src/direct/direct_forwarder.h
@@ -17,6 +17,7 @@
 #include <pomelohoist/clock.h>
 #include <pomelohoist/error.h>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -50,6 +51,9 @@
     std::vector<std::string> endpoints; ///< instances that the request was sent to
     bool may_have_run{false};
     std::uint64_t events{0};
+    std::optional<std::chrono::microseconds> prompt_wait; ///< predicted at the last endpoint, before the prompt is read
+    std::optional<std::chrono::milliseconds> first_event; ///< from the arrival to the first event of a stream
+    std::chrono::milliseconds longest_gap{0};             ///< between two events
 
     friend bool operator==(const forwarding_outcome&, const forwarding_outcome&) = default;
 };
@@ -86,6 +90,8 @@
     attempt_end forward_full_response(const http_response_head& response, steady_time until);
     attempt_end forward_stream(const http_response_head& response);
     attempt_end end_stream();
+    /// Records the time at which events of a stream have arrived.
+    void record_events();
     bool forward_events(const http_response_head& response, const std::string& event_bytes);
     [[nodiscard]] bool may_retry(attempt_end end);
     [[nodiscard]] bool is_stream() const { return this->request.matched_route->retry == retry_policy::stream; }
@@ -109,14 +115,15 @@
     std::unique_ptr<endpoint_permit> permit;
     std::unique_ptr<http_connection> connection;
     std::optional<full_response> endpoint_failure; ///< an endpoint's error response, forwarded when no retry follows
-    std::chrono::milliseconds pause_left{0};       ///< until an endpoint may serve the request, if that is known
-    std::string kept_back;          ///< for the log: an endpoint's statement that kept the request from it
-    std::uint32_t sends{0};         ///< sends after which the request may have run
-    std::uint32_t refusals{0};      ///< responses of endpoints that did not run the request
-    bool is_connection_lost{false}; ///< the endpoint closed it during the last attempt
-    bool has_response_begun{false}; ///< the last attempt has received the head of a response
-    bool is_processed{false};       ///< that response is the result of the request, not a failure
-    bool has_started_stream{false}; ///< the head of a stream was sent to the caller
+    steady_time last_event_at;
+    std::chrono::milliseconds pause_left{0}; ///< until an endpoint may serve the request, if that is known
+    std::string kept_back;                   ///< for the log: an endpoint's statement that kept the request from it
+    std::uint32_t sends{0};                  ///< sends after which the request may have run
+    std::uint32_t refusals{0};               ///< responses of endpoints that did not run the request
+    bool is_connection_lost{false};          ///< the endpoint closed it during the last attempt
+    bool has_response_begun{false};          ///< the last attempt has received the head of a response
+    bool is_processed{false};                ///< that response is the result of the request, not a failure
+    bool has_started_stream{false};          ///< the head of a stream was sent to the caller
 };
 
 /// Sends an error response that the entry itself creates.
--- a/src/direct/direct_messages.h
+++ b/src/direct/direct_messages.h
@@ -6,6 +6,7 @@
 #include "direct/routing_table.h"
 #include "inner/messages.h"
 #include "placement/load_tracker.h"
+#include "placement/unread_prompts.h"
 
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
@@ -50,11 +51,12 @@
     std::optional<crash_evidence> evidence;
     std::vector<reported_limit> limits;
     std::vector<reported_leave> leaves;
+    std::optional<std::vector<unread_load>> unread; ///< empty when all prompts of the sender are read
 
     template <class Archive> void serialize(Archive& archive) {
         archive(this->sender, this->is_entry, this->sequence, this->routing_version, this->endpoints_revision,
                 this->store_age_ms, this->loads, this->local_rank, this->quarantine_summary, this->evidence,
-                this->limits, this->leaves);
+                this->limits, this->leaves, this->unread);
     }
     friend bool operator==(const peer_update&, const peer_update&) = default;
 };
--- a/src/direct/direct_request.cpp
+++ b/src/direct/direct_request.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <numeric>
 #include <sstream>
 #include <string_view>
@@ -75,6 +76,13 @@
     return ids;
 }
 
+std::uint32_t parse_prompt_tokens(std::string_view token_counts) {
+    const std::string_view prompt = token_counts.substr(0, token_counts.find(','));
+    std::uint32_t tokens = 0;
+    const auto [stopped, error] = std::from_chars(prompt.data(), prompt.data() + prompt.size(), tokens);
+    return error == std::errc{} && stopped == prompt.data() + prompt.size() ? tokens : 0;
+}
+
 result<direct_request> request_resolver::resolve(const raw_request& raw, steady_time arrived,
                                                  std::uint64_t ticket) const {
     routing_snapshot snapshot = this->state.current();
@@ -95,7 +103,8 @@
                            parse_shared_segments(raw.header(this->names.prompt_segments).value_or("")),
                            {},
                            arrived,
-                           {}};
+                           {},
+                           parse_prompt_tokens(raw.header(this->names.token_counts).value_or(""))};
     if (!matched_route->is_public && snapshot.routing->has_workspaces()) {
         const workspace_keys* owner = snapshot.routing->find_workspace(raw.header(this->names.api_key).value_or(""));
         if (owner == nullptr) {
--- a/src/direct/direct_request.h
+++ b/src/direct/direct_request.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Resolves callers' requests and encodes them for endpoints.
@@ -32,7 +33,8 @@
     std::vector<std::string> shared_segments; ///< ids of the prompt's segments that other requests may have too
     request_fingerprint fingerprint;
     steady_time arrived;
-    steady_time deadline; ///< the earlier of the caller's deadline and the route's
+    steady_time deadline;           ///< the earlier of the caller's deadline and the route's
+    std::uint32_t prompt_tokens{0}; ///< 0 when the caller does not state it
 };
 
 /// Finds the route, workspace and service of a request.
@@ -55,6 +57,10 @@
 /// @returns the ids of all segments but the last, which belongs to one request only
 std::vector<std::string> parse_shared_segments(const std::string& prompt_segments);
 
+/// @param token_counts prompt tokens, comma, largest number of output tokens
+/// @returns the prompt tokens, or 0 when the text is malformed
+std::uint32_t parse_prompt_tokens(std::string_view token_counts);
+
 /// @returns request line, header fields and body as sent to an endpoint
 /// @param resume_after id of the last event that the caller has received, or empty
 std::string encode_for_endpoint(const direct_request& request, const header_names& names, const std::string& instance,
--- a/src/direct/direct_service.cpp
+++ b/src/direct/direct_service.cpp
@@ -2,12 +2,19 @@
 
 #include <Poco/String.h>
 
+#include <chrono>
+#include <optional>
 #include <string>
 
 namespace pomelohoist {
 
 namespace {
 
+/// @returns the duration in ms, or "none"
+template <class Duration> std::string to_text(const std::optional<Duration>& duration) {
+    return duration ? std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*duration).count()) : "none";
+}
+
 /// Counts a request as active while this object exists.
 class counted_request {
   public:
@@ -58,6 +65,10 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(this->parts.time.now() - request.arrived);
     this->parts.metrics.get_histogram("direct_request_ms").record(static_cast<double>(duration.count()));
     this->parts.metrics.get_counter("direct_requests_total", "status=\"" + std::to_string(outcome.status) + "\"").add();
+    if (outcome.prompt_wait && *outcome.prompt_wait > std::chrono::microseconds{0}) {
+        this->parts.metrics.get_histogram("direct_prompt_wait_ms")
+            .record(std::chrono::duration<double, std::milli>{*outcome.prompt_wait}.count());
+    }
     const routing_snapshot snapshot = this->state.current();
     const auto age = this->state.store_age();
     this->parts.log.info(
@@ -69,6 +80,10 @@
                          {"endpoints", Poco::cat(std::string{","}, outcome.endpoints.begin(), outcome.endpoints.end())},
                          {"events", std::to_string(outcome.events)},
                          {"ms", std::to_string(duration.count())},
+                         {"prompt_tokens", std::to_string(request.prompt_tokens)},
+                         {"prompt_wait_ms", to_text(outcome.prompt_wait)},
+                         {"first_event_ms", to_text(outcome.first_event)},
+                         {"longest_gap_ms", std::to_string(outcome.longest_gap.count())},
                          {"routing", std::to_string(request.routing->version())},
                          {"list", std::to_string(snapshot.endpoints ? snapshot.endpoints->revision : 0)},
                          {"age_ms", age ? std::to_string(age->count()) : "none"},
--- a/src/direct/header_names.h
+++ b/src/direct/header_names.h
@@ -19,6 +19,7 @@
     std::string leaving; ///< "1" in all responses of an endpoint that leaves
     /// Segments of the prompt in order, as comma-separated ID:TOKENS; requests share all segments but the last.
     std::string prompt_segments;
+    std::string token_counts; ///< number of prompt tokens, comma, largest number of output tokens
 
     friend bool operator==(const header_names&, const header_names&) = default;
 };
--- a/src/direct/peer_link.cpp
+++ b/src/direct/peer_link.cpp
@@ -28,10 +28,10 @@
 } // namespace
 
 peer_link::peer_link(peer_link_options link_options, routing_state& current_state, load_tracker& loads,
-                     crash_quarantine* known_crashes, endpoint_statements* stated,
+                     crash_quarantine* known_crashes, endpoint_statements* stated, unread_prompts* unread,
                      inner::stream_handler* fallback_handler, const clock& time_source, structured_log& process_log)
     : options(std::move(link_options)), state(current_state), tracker(loads), crashes(known_crashes),
-      statements(stated), next_handler(fallback_handler), time(time_source), log(process_log),
+      statements(stated), prompts(unread), next_handler(fallback_handler), time(time_source), log(process_log),
       socket(to_poco(this->options.own.address), true), listener(this->options.own.address),
       // A restarted process must continue above the sequence numbers of its previous run.
       next_sequence(static_cast<std::uint64_t>(this->time.now().time_since_epoch().count())) {}
@@ -107,6 +107,7 @@
         update.limits = this->statements->report(max_age);
         update.leaves = this->statements->report_leaves(max_age);
     }
+    update.unread = this->prompts != nullptr ? this->prompts->own_loads() : std::nullopt;
     {
         const std::lock_guard lock{this->mutex};
         update.local_rank = this->rank;
@@ -370,6 +371,9 @@
     }
     if (update.is_entry) {
         this->tracker.set_peer_load(update.sender, update.loads);
+        if (this->prompts != nullptr) {
+            this->prompts->set_peer_loads(update.sender, update.unread);
+        }
         if (this->statements != nullptr) {
             this->statements->merge(update.sender, update.limits);
             this->statements->merge_leaves(update.sender, update.leaves);
--- a/src/direct/peer_link.h
+++ b/src/direct/peer_link.h
@@ -56,10 +56,11 @@
     /// @attention throws Poco::Net::NetException when the address cannot be bound
     /// @param known_crashes null in processes that forward no requests
     /// @param stated null in the same processes
+    /// @param unread null in the same processes
     /// @param fallback_handler handles the streams that are not routing pulls; may be null
     peer_link(peer_link_options link_options, routing_state& current_state, load_tracker& loads,
-              crash_quarantine* known_crashes, endpoint_statements* stated, inner::stream_handler* fallback_handler,
-              const clock& time_source, structured_log& process_log);
+              crash_quarantine* known_crashes, endpoint_statements* stated, unread_prompts* unread,
+              inner::stream_handler* fallback_handler, const clock& time_source, structured_log& process_log);
     ~peer_link() override;
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
@@ -132,6 +133,7 @@
     load_tracker& tracker;
     crash_quarantine* crashes;
     endpoint_statements* statements;
+    unread_prompts* prompts;
     inner::stream_handler* next_handler;
     const clock& time;
     structured_log& log;
--- a/src/placement/endpoint_choice.cpp
+++ b/src/placement/endpoint_choice.cpp
@@ -1,6 +1,8 @@
 #include "placement/endpoint_choice.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace pomelohoist {
 
@@ -11,6 +13,13 @@
 // 400 ms.
 constexpr std::uint32_t slots_per_waiting_stream = 6;
 
+// A wait of this length is about 1% of a latency target of 400 ms, and entries learn of each other's prompts no sooner.
+constexpr std::chrono::milliseconds negligible_wait{5};
+
+// A short prompt may be sent to an endpoint whose load, as a share of its slots, is above the least load by less than
+// this: requests that run beside a stream delay each of its tokens, while a long prompt delays the first event only.
+constexpr double max_load_difference = 0.25;
+
 double load_of(const endpoint_candidate& candidate) {
     return static_cast<double>(candidate.active) / std::max(candidate.slots, 1U);
 }
@@ -20,6 +29,38 @@
            candidate.pause_left <= std::chrono::milliseconds{0} && candidate.active < candidate.capacity;
 }
 
+bool is_read_at_once(const endpoint_candidate* candidate) {
+    return candidate->reading_time <= negligible_wait;
+}
+
+/// Removes the candidates at which a prompt would wait for longer prompts, unless all would let it wait.
+/// @param open candidates with capacity, not empty
+void keep_soonest_of_least_loaded(std::vector<const endpoint_candidate*>& open) {
+    const auto least = std::min_element(
+        open.begin(), open.end(), [](const auto* left, const auto* right) { return load_of(*left) < load_of(*right); });
+    const double least_load = load_of(**least);
+    const double one_request = 1.0 / std::max((*least)->slots, 1U);
+    // The load of the selected endpoints is above the least load by less than one request.
+    std::vector<const endpoint_candidate*> kept;
+    std::copy_if(open.begin(), open.end(), std::back_inserter(kept),
+                 [=](const auto* candidate) { return load_of(*candidate) < least_load + one_request; });
+    if (std::none_of(kept.begin(), kept.end(), is_read_at_once)) {
+        // Endpoints that read long prompts get fewer requests and soon are the least loaded, so that prompts are read
+        // at once elsewhere only. An endpoint without a free slot would make the request wait for one, though.
+        const double bound = least_load + std::max(max_load_difference, 2 * one_request);
+        std::copy_if(open.begin(), open.end(), std::back_inserter(kept), [=](const auto* candidate) {
+            const double load = load_of(*candidate);
+            return load >= least_load + one_request && load < bound && candidate->active < candidate->slots;
+        });
+    }
+    const auto* soonest = *std::min_element(kept.begin(), kept.end(), [](const auto* left, const auto* right) {
+        return left->reading_time < right->reading_time;
+    });
+    const std::chrono::microseconds bound = soonest->reading_time + negligible_wait;
+    std::erase_if(kept, [bound](const auto* candidate) { return candidate->reading_time > bound; });
+    open = std::move(kept);
+}
+
 /// @returns why no endpoint was selected
 endpoint_choice explain_none(const std::vector<endpoint_candidate>& candidates) {
     endpoint_choice none;
@@ -58,11 +99,7 @@
     if (open.empty()) {
         return explain_none(candidates);
     }
-    const auto least = std::min_element(
-        open.begin(), open.end(), [](const auto* left, const auto* right) { return load_of(*left) < load_of(*right); });
-    // Chooses at random among the endpoints whose load is above the least load by less than one request.
-    const double bound = load_of(**least) + 1.0 / std::max((*least)->slots, 1U);
-    std::erase_if(open, [bound](const auto* candidate) { return load_of(*candidate) >= bound; });
+    keep_soonest_of_least_loaded(open);
     return {open[random.next_below(open.size())]->index, false};
 }
 
--- a/src/placement/endpoint_choice.h
+++ b/src/placement/endpoint_choice.h
@@ -22,7 +22,8 @@
     bool was_tried{false};     ///< this request was sent to the endpoint before
     bool is_closed{false};     ///< the endpoint's group does not serve at the moment and is being formed again
     bool is_limited{false};    ///< its rate limit allows no further request at the moment
-    std::chrono::milliseconds pause_left{0}; ///< remaining time in which the endpoint wants no requests
+    std::chrono::milliseconds pause_left{0};   ///< remaining time in which the endpoint wants no requests
+    std::chrono::microseconds reading_time{0}; ///< time that the endpoint needs to read the prompts that wait there
 
     friend bool operator==(const endpoint_candidate&, const endpoint_candidate&) = default;
 };
@@ -38,7 +39,8 @@
 
 /// Selects one of the least loaded endpoints at random: if entries always selected the single least loaded endpoint,
 /// all requests placed at the same moment would go to the same endpoint. An endpoint in cooldown is selected only when
-/// no other endpoint has capacity.
+/// no other endpoint has capacity. Among endpoints of similar load, those are selected at which the prompt of the
+/// request is read soonest.
 endpoint_choice choose_endpoint(const std::vector<endpoint_candidate>& candidates, random_source& random);
 
 /// @param slots requests that an endpoint processes at once
--- a/src/ranks/rank_daemon.cpp
+++ b/src/ranks/rank_daemon.cpp
@@ -84,7 +84,7 @@
             this->server = std::make_unique<rank_server>(
                 *this->engine, static_cast<std::uint64_t>(this->context.time.now().time_since_epoch().count()));
             this->link = std::make_unique<peer_link>(peer_link_options{own, false, this->platform.seeds(this->values)},
-                                                     *this->routing, *this->tracker, nullptr, nullptr,
+                                                     *this->routing, *this->tracker, nullptr, nullptr, nullptr,
                                                      this->server.get(), this->context.time, this->context.log);
         } catch (const Poco::Exception& error) {
             return failure{error_kind::invalid_settings, "the address cannot be bound: " + error.displayText()};
--- a/tests/direct/direct_fixture.h
+++ b/tests/direct/direct_fixture.h
@@ -94,6 +94,7 @@
     header_names names{platform::make_header_names()};
     routing_state state{this->time, this->log};
     load_tracker tracker{this->time};
+    unread_prompts prompts{this->time};
     crash_quarantine crashes{this->time, this->log, this->metrics};
     endpoint_statements statements{this->time, this->log};
     peer_link link{{{this->name, this->inner}, true, {}},
@@ -101,6 +102,7 @@
                    this->tracker,
                    &this->crashes,
                    &this->statements,
+                   &this->prompts,
                    nullptr,
                    this->time,
                    this->log};
@@ -113,8 +115,8 @@
                                this->time,   this->log,   this->metrics};
     crash_reporter reporter{this->prober, this->crashes, this->lost_runs, this->link,
                             this->time,   this->log,     this->metrics};
-    admission_queue admission{this->state,      this->tracker, this->link, this->cooldowns,
-                              this->statements, this->random,  this->time};
+    admission_queue admission{this->state,     this->tracker,    this->prompts, this->link,
+                              this->cooldowns, this->statements, this->random,  this->time};
     forwarding_parts parts{this->names,   this->admission, this->connections, this->cooldowns, this->budget,
                            this->buffers, this->tracker,   this->random,      this->time,      this->log,
                            this->metrics, this->reporter,  this->statements};
--- a/tests/direct/spread_fixture.h
+++ b/tests/direct/spread_fixture.h
@@ -195,7 +195,7 @@
     node(const std::string& name, control_store& store, bool is_entry = true, std::vector<net_address> seeds = {})
         : own{name, {"127.0.0.1", free_port()}},
           link({this->own, is_entry, std::move(seeds)}, this->state, this->tracker, &this->crashes, &this->statements,
-               nullptr, this->time, this->log),
+               &this->prompts, nullptr, this->time, this->log),
           watcher(store, this->own, is_entry, this->state, this->link, &this->crashes, this->time, this->log,
                   this->metrics) {}
     ~node() {
@@ -228,6 +228,7 @@
     metrics_registry metrics;
     routing_state state{this->time, this->log};
     load_tracker tracker{this->time};
+    unread_prompts prompts{this->time};
     crash_quarantine crashes{this->time, this->log, this->metrics};
     endpoint_statements statements{this->time, this->log};
     peer_record own;
