--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -312,10 +312,28 @@
     return attempt_end::responded;
 }
 
+void direct_forwarder::record_events() {
+    // An endpoint sends the first event after it has read the prompt.
+    this->permit->record_read();
+    const steady_time now = this->parts.time.now();
+    if (!this->outcome.first_event) {
+        this->outcome.first_event = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->request.arrived);
+    } else {
+        const auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->last_event_at);
+        this->outcome.longest_gap = std::max(this->outcome.longest_gap, gap);
+        if (const engine_speed* speed = this->engine()) {
+            this->parts.capacity.record_pause(this->request.service, *speed, gap,
+                                              std::chrono::milliseconds{this->request.matched_route->gap_target_ms});
+        }
+    }
+    this->last_event_at = now;
+}
+
 bool direct_forwarder::forward_events(const http_response_head& response, const std::string& event_bytes) {
     if (event_bytes.empty()) {
         return true;
     }
+    this->record_events();
     if (!this->has_started_stream) {
         this->has_started_stream = true;
         this->outcome.status = response.status;
@@ -334,21 +352,9 @@
         return attempt_end::failed;
     }
     this->events.begin_run();
-    const engine_speed* speed = this->engine();
-    std::optional<steady_time> last_event;
     while (true) {
         std::string piece;
         const exchange_state state = this->connection->read_body(piece, this->request.deadline, this->caller);
-        if (speed != nullptr && !piece.empty()) {
-            const steady_time now = this->parts.time.now();
-            if (last_event) {
-                this->parts.capacity.record_pause(
-                    this->request.service, *speed,
-                    std::chrono::duration_cast<std::chrono::milliseconds>(now - *last_event),
-                    std::chrono::milliseconds{this->request.matched_route->gap_target_ms});
-            }
-            last_event = now;
-        }
         if (!this->forward_events(response, this->events.extract_events(piece))) {
             this->outcome.reason = "the caller has left";
             return attempt_end::caller_disconnected;
--- a/src/direct/forwarder_admission.cpp
+++ b/src/direct/forwarder_admission.cpp
@@ -25,6 +25,7 @@
                            this->outcome.endpoints,
                            std::min(now + longest, this->request.deadline),
                            std::min(now + config::longest_reopen_wait, this->request.deadline)};
+    made.prompt_tokens = this->request.prompt_tokens;
     if (this->engine() != nullptr && this->more_important > 0) {
         // A less important stream that is admitted later than this misses its latency target.
         const route& matched = *this->request.matched_route;
@@ -49,6 +50,7 @@
             return quarantined;
         }
         this->permit = std::move(admission.permit);
+        this->outcome.prompt_wait = this->permit->prompt_wait;
         return std::nullopt;
     }
     this->kept_back = std::move(admission.statement);
