--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -247,6 +247,9 @@
 // An endpoint that has stated that it leaves, and is still registered, is used again after this time.
 inline constexpr std::chrono::minutes longest_leave{10};
 inline constexpr std::size_t max_reported_leaves = 200; // in one datagram, 2.4 KB
+// Longest time for which an endpoint counts as cold after one statement.
+inline constexpr std::chrono::hours longest_cold_time{1};
+inline constexpr std::size_t max_reported_cold = 80; // in one datagram, 1 KB
 // Longest pause that an endpoint is granted at once.
 inline constexpr std::chrono::minutes longest_pause{5};
 
--- a/src/direct/admission_queue.cpp
+++ b/src/direct/admission_queue.cpp
@@ -37,14 +37,23 @@
 
 admission_queue::admission_queue(routing_state& current_state, load_tracker& loads, peer_link& link,
                                  cooldown_tracker& recent_failures, endpoint_statements& stated,
-                                 random_source& randomness, const clock& time_source)
+                                 cold_start_limit& cold_endpoints, random_source& randomness, const clock& time_source)
     : state(current_state), tracker(loads), peers(link), cooldowns(recent_failures), statements(stated),
-      random(randomness), time(time_source) {}
+      cold(cold_endpoints), random(randomness), time(time_source) {}
 
-admission_result admission_queue::try_admit(const admission_request& request) {
-    const routing_snapshot snapshot = this->state.current();
+struct admission_queue::candidate_list {
     std::vector<endpoint_candidate> candidates;
-    std::string statement;
+    std::string statement; ///< that keeps the request from an endpoint, or empty
+};
+
+admission_queue::candidate_list admission_queue::find_candidates(const admission_request& request,
+                                                                 const routing_snapshot& snapshot) {
+    candidate_list found;
+    const service* const declared = snapshot.routing ? snapshot.routing->find_service(request.service) : nullptr;
+    const cold_rate rate = declared != nullptr
+                               ? cold_rate{std::chrono::milliseconds{declared->cold_ms}, declared->cold_per_s}
+                               : cold_rate{};
+    const std::uint32_t entries = rate.per_s > 0.0 ? this->peers.possible_entries() : 1;
     const std::vector<net_address> closed = this->peers.closed_engines();
     const std::size_t endpoint_count = snapshot.endpoints ? snapshot.endpoints->endpoints.size() : 0;
     for (std::size_t i = 0; i < endpoint_count; ++i) {
@@ -53,12 +62,13 @@
             continue;
         }
         if (snapshot.is_evacuated(record.data_centre)) {
-            statement = "data centre " + record.data_centre + " is evacuated";
+            found.statement = "data centre " + record.data_centre + " is evacuated";
+            this->cold.forget(endpoint_statements::incarnation_of(record));
             continue;
         }
         const endpoint_availability availability = this->statements.availability_of(record);
         if (availability.is_leaving || availability.pause_left > std::chrono::milliseconds{0}) {
-            statement = to_text(record, availability);
+            found.statement = to_text(record, availability);
         }
         if (availability.is_leaving) {
             continue;
@@ -67,10 +77,19 @@
         const bool was_tried =
             std::find(request.tried.begin(), request.tried.end(), record.instance) != request.tried.end();
         const bool is_closed = std::find(closed.begin(), closed.end(), record.address) != closed.end();
-        candidates.push_back({i, this->tracker.total(digest), record.slots,
-                              capacity_of(record.slots, request.is_stream), this->cooldowns.in_cooldown(digest),
-                              was_tried, is_closed, !this->statements.has_room(digest), availability.pause_left});
+        const bool is_limited =
+            !this->statements.has_room(digest) ||
+            !this->cold.has_room(endpoint_statements::incarnation_of(record), rate, availability.cold_left, entries);
+        found.candidates.push_back({i, this->tracker.total(digest), record.slots,
+                                    capacity_of(record.slots, request.is_stream), this->cooldowns.in_cooldown(digest),
+                                    was_tried, is_closed, is_limited, availability.pause_left});
     }
+    return found;
+}
+
+admission_result admission_queue::try_admit(const admission_request& request) {
+    const routing_snapshot snapshot = this->state.current();
+    auto [candidates, statement] = this->find_candidates(request, snapshot);
     const endpoint_choice choice = choose_endpoint(candidates, this->random);
     if (!choice.index) {
         if (choice.pause_left > std::chrono::milliseconds{0}) {
@@ -87,6 +106,7 @@
     const endpoint_record& chosen = snapshot.endpoints->endpoints[*choice.index];
     // Before the permit is created: its constructor sends the update that contains this request.
     this->statements.record_request(digest_of_instance(chosen.instance));
+    this->cold.record_request(endpoint_statements::incarnation_of(chosen));
     return {admission_outcome::admitted, std::make_unique<endpoint_permit>(chosen, this->tracker, this->peers), {}, {}};
 }
 
--- a/src/direct/admission_queue.h
+++ b/src/direct/admission_queue.h
@@ -5,6 +5,7 @@
 #include "direct/endpoint_statements.h"
 #include "direct/peer_link.h"
 #include "direct/routing_state.h"
+#include "placement/cold_start_limit.h"
 #include "placement/cooldown_tracker.h"
 #include "placement/endpoint_choice.h"
 #include "placement/load_tracker.h"
@@ -75,8 +76,8 @@
 class admission_queue {
   public:
     admission_queue(routing_state& current_state, load_tracker& loads, peer_link& link,
-                    cooldown_tracker& recent_failures, endpoint_statements& stated, random_source& randomness,
-                    const clock& time_source);
+                    cooldown_tracker& recent_failures, endpoint_statements& stated, cold_start_limit& cold_endpoints,
+                    random_source& randomness, const clock& time_source);
 
     /// Waits until the request is admitted, its time limit has passed or its caller has disconnected.
     admission_result acquire(const admission_request& request, caller_connection_monitor& caller);
@@ -96,6 +97,9 @@
     using waiting_queue = std::map<waiting_key, bool>;
 
     admission_result try_admit(const admission_request& request);
+    /// Endpoints that may be considered for the request.
+    struct candidate_list;
+    [[nodiscard]] candidate_list find_candidates(const admission_request& request, const routing_snapshot& snapshot);
     /// @returns true when capacity that becomes free is not for an earlier request
     static bool is_next(const waiting_queue& queue, const waiting_key& own);
 
@@ -104,6 +108,7 @@
     peer_link& peers;
     cooldown_tracker& cooldowns;
     endpoint_statements& statements;
+    cold_start_limit& cold;
     random_source& random;
     const clock& time;
     mutable std::mutex mutex;
--- a/src/direct/control_store.h
+++ b/src/direct/control_store.h
@@ -35,10 +35,19 @@
     friend bool operator==(const endpoint_change&, const endpoint_change&) = default;
 };
 
+/// An endpoint that is cold, by its registration.
+struct cold_endpoint {
+    endpoint_record endpoint;
+    std::chrono::milliseconds left{0}; ///< when the registration was read
+
+    friend bool operator==(const cold_endpoint&, const cold_endpoint&) = default;
+};
+
 /// Changes of the endpoint list after a revision.
 struct endpoint_changes {
     store_revision revision; ///< the next watch continues after this revision
     std::vector<endpoint_change> changes;
+    std::vector<cold_endpoint> cold{}; ///< among the changed registrations
 
     friend bool operator==(const endpoint_changes&, const endpoint_changes&) = default;
 };
@@ -47,6 +56,7 @@
 struct endpoint_snapshot {
     store_revision revision;
     std::vector<endpoint_record> endpoints;
+    std::vector<cold_endpoint> cold{};
 
     friend bool operator==(const endpoint_snapshot&, const endpoint_snapshot&) = default;
 };
--- a/src/direct/direct_daemon.cpp
+++ b/src/direct/direct_daemon.cpp
@@ -23,6 +23,10 @@
     return {checked.number("retries.ratio"), checked.number("retries.slack"), checked.duration("retries.window_ms")};
 }
 
+cold_bound read_cold_bound(const settings& checked) {
+    return {checked.number("cold_endpoints.excess"), checked.number("cold_endpoints.slack")};
+}
+
 /// All parts of the process. A part depends only on parts declared before it.
 struct direct_parts {
     direct_parts(const settings& checked, const daemon_context& context, direct_platform& platform)
@@ -31,12 +35,13 @@
           statements(context.time, context.log), store(platform.connect_store(checked, context.log)),
           link({own, true, platform.seeds(checked)}, state, tracker, &crashes, &statements, nullptr, context.time,
                context.log),
-          watcher(*store, own, true, state, link, &crashes, context.time, context.log, context.metrics),
-          cooldowns(context.time), budget(read_retry_limits(checked), context.time), connections(context.time),
+          watcher(*store, own, true, state, link, &crashes, &statements, context.time, context.log, context.metrics),
+          cooldowns(context.time), cold(read_cold_bound(checked), context.time),
+          budget(read_retry_limits(checked), context.time), connections(context.time),
           buffers(config::response_buffer_bytes), prober(config::endpoint_probe_timeout),
           lost_runs(prober, state, crashes, link, context.time, context.log, context.metrics),
           reporter(prober, crashes, lost_runs, link, context.time, context.log, context.metrics),
-          admission(state, tracker, link, cooldowns, statements, context.random, context.time),
+          admission(state, tracker, link, cooldowns, statements, cold, context.random, context.time),
           forwarding{platform.headers(), admission,    connections, cooldowns,       budget,   buffers,   tracker,
                      context.random,     context.time, context.log, context.metrics, reporter, statements},
           service(forwarding, state), server(checked.address("http.address"), service, state, context.time) {}
@@ -50,6 +55,7 @@
     peer_link link;
     store_watcher watcher;
     cooldown_tracker cooldowns;
+    cold_start_limit cold;
     shared_retry_budget budget;
     connection_pool connections;
     buffer_budget buffers;
@@ -157,6 +163,14 @@
          "together in one window",
          {},
          0.0},
+        {"cold_endpoints.excess",
+         setting_type::number,
+         false,
+         "0",
+         "bound of the requests to a cold endpoint in one second, as a multiple of its rate; 0: not limited",
+         {},
+         0.0},
+        {"cold_endpoints.slack", setting_type::number, false, "0", "requests beyond that multiple", {}, 0.0},
         {"retries.window_ms", setting_type::duration_ms, false, "10000", "window of the limit on retries", {}},
     };
     const settings_schema platform_schema = this->platform.schema();
--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -217,6 +217,10 @@
     if (limit || is_signed) {
         this->parts.statements.record_response(endpoint, limit);
     }
+    const std::optional<std::string> cold = response.header(this->parts.names.cold_left_ms);
+    if (cold && is_signed) {
+        this->parts.statements.record_cold(endpoint, *cold);
+    }
     // Endpoints do not sign refusals. A misdirected request was refused by another endpoint.
     const bool is_refusal =
         response.header(this->parts.names.not_run).has_value() && response.status != status_misdirected;
--- a/src/direct/direct_messages.h
+++ b/src/direct/direct_messages.h
@@ -53,6 +53,7 @@
     std::vector<reported_limit> limits;
     std::vector<reported_leave> leaves;
     std::optional<std::uint64_t> evacuations_revision; ///< absent while there has never been an evacuation
+    std::optional<std::vector<reported_cold>> cold;    ///< absent while there is none
 
     [[nodiscard]] routing_versions versions() const {
         return {this->routing_version, this->endpoints_revision, this->evacuations_revision.value_or(0)};
@@ -60,7 +61,7 @@
     template <class Archive> void serialize(Archive& archive) {
         archive(this->sender, this->is_entry, this->sequence, this->routing_version, this->endpoints_revision,
                 this->store_age_ms, this->loads, this->local_rank, this->quarantine_summary, this->evidence,
-                this->limits, this->leaves, this->evacuations_revision);
+                this->limits, this->leaves, this->evacuations_revision, this->cold);
     }
     friend bool operator==(const peer_update&, const peer_update&) = default;
 };
--- a/src/direct/direct_service.cpp
+++ b/src/direct/direct_service.cpp
@@ -24,6 +24,8 @@
 
 direct_service::direct_service(const forwarding_parts& shared_parts, const routing_state& current_state)
     : parts(shared_parts), state(current_state), resolver(shared_parts.names, current_state) {
+    this->parts.metrics.add_gauge("direct_cold_endpoints",
+                                  [this] { return static_cast<double>(this->parts.statements.count_cold()); });
     this->parts.metrics.add_gauge("direct_evacuated_data_centres", [this] {
         const routing_snapshot snapshot = this->state.current();
         return snapshot.evacuations ? static_cast<double>(snapshot.evacuations->data_centres.size()) : 0.0;
--- a/src/direct/endpoint_statements.cpp
+++ b/src/direct/endpoint_statements.cpp
@@ -124,8 +124,76 @@
     const bool is_leaving = now < stated.leaving_until;
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
         now - (is_leaving ? stated.leaving_since : stated.paused_since));
-    return {is_leaving, std::max(left, std::chrono::milliseconds{0}), age,
-            is_leaving ? stated.leaving_observer : std::string{}};
+    return {
+        is_leaving, std::max(left, std::chrono::milliseconds{0}), age,
+        is_leaving ? stated.leaving_observer : std::string{},
+        std::max(std::chrono::ceil<std::chrono::milliseconds>(stated.cold_until - now), std::chrono::milliseconds{0})};
+}
+
+void endpoint_statements::record_cold(const endpoint_record& endpoint, const std::string& left_ms) {
+    const std::optional<double> left = parse_amount(left_ms);
+    if (!left) {
+        this->log.warn("endpoint_cold_unusable", {{"endpoint", endpoint.instance}, {"value", left_ms}});
+        return;
+    }
+    const std::chrono::duration<double, std::milli> bounded{
+        std::min(*left, std::chrono::duration<double, std::milli>{config::longest_cold_time}.count())};
+    this->record_cold(endpoint, std::chrono::ceil<std::chrono::milliseconds>(bounded));
+}
+
+void endpoint_statements::record_cold(const endpoint_record& endpoint, std::chrono::milliseconds left) {
+    const std::lock_guard lock{this->mutex};
+    const steady_time now = this->time.now();
+    const auto found = this->availabilities.find(incarnation_of(endpoint));
+    const bool was_cold = found != this->availabilities.end() && found->second.cold_until > now;
+    if (!was_cold) {
+        if (left <= std::chrono::milliseconds{0}) {
+            return;
+        }
+        this->drop_old(now);
+        this->log.info("endpoint_cold", {{"endpoint", endpoint.instance}, {"left_ms", std::to_string(left.count())}});
+    }
+    stated_times& own = this->availabilities[incarnation_of(endpoint)];
+    own.cold_until = now + left;
+    own.is_cold_reported = false;
+}
+
+std::optional<std::vector<reported_cold>> endpoint_statements::report_cold() const {
+    const std::lock_guard lock{this->mutex};
+    const steady_time now = this->time.now();
+    std::vector<reported_cold> reported;
+    for (const auto& [cold, stated] : this->availabilities) {
+        // A report that was passed on again and again would extend the time by the delay of each message.
+        if (stated.cold_until > now && !stated.is_cold_reported && reported.size() < config::max_reported_cold) {
+            const auto left = std::chrono::ceil<std::chrono::milliseconds>(stated.cold_until - now);
+            reported.push_back({cold, static_cast<std::uint32_t>(left.count())});
+        }
+    }
+    return reported.empty() ? std::nullopt : std::optional{std::move(reported)};
+}
+
+void endpoint_statements::merge_cold(const std::optional<std::vector<reported_cold>>& reported) {
+    if (!reported) {
+        return;
+    }
+    const std::lock_guard lock{this->mutex};
+    const steady_time now = this->time.now();
+    this->drop_old(now);
+    for (const reported_cold& each : *reported) {
+        stated_times& known = this->availabilities[each.incarnation];
+        const steady_time until = now + std::chrono::milliseconds{each.left_ms};
+        if (until > known.cold_until) {
+            known.is_cold_reported = known.cold_until <= now || known.is_cold_reported;
+            known.cold_until = until;
+        }
+    }
+}
+
+std::size_t endpoint_statements::count_cold() const {
+    const std::lock_guard lock{this->mutex};
+    const steady_time now = this->time.now();
+    return static_cast<std::size_t>(std::count_if(this->availabilities.begin(), this->availabilities.end(),
+                                                  [now](const auto& each) { return each.second.cold_until > now; }));
 }
 
 std::vector<reported_leave> endpoint_statements::report_leaves(std::chrono::milliseconds max_age) const {
@@ -230,7 +298,7 @@
                now - each.second.stated_at > config::limit_memory;
     });
     std::erase_if(this->availabilities, [now](const auto& each) {
-        return each.second.leaving_until <= now && each.second.paused_until <= now;
+        return each.second.leaving_until <= now && each.second.paused_until <= now && each.second.cold_until <= now;
     });
 }
 
--- a/src/direct/endpoint_statements.h
+++ b/src/direct/endpoint_statements.h
@@ -42,12 +42,22 @@
     friend bool operator==(const reported_leave&, const reported_leave&) = default;
 };
 
+/// One entry's report that an endpoint has stated that it is cold.
+struct reported_cold {
+    std::uint64_t incarnation{0}; ///< digest of the endpoint's instance and start
+    std::uint32_t left_ms{0};
+
+    template <class Archive> void serialize(Archive& archive) { archive(this->incarnation, this->left_ms); }
+    friend bool operator==(const reported_cold&, const reported_cold&) = default;
+};
+
 /// Whether an endpoint wants requests from this entry.
 struct endpoint_availability {
     bool is_leaving{false};
     std::chrono::milliseconds pause_left{0}; ///< remaining time of the pause that the endpoint has asked for
     std::chrono::milliseconds age{0};        ///< of the statement that keeps requests back
     std::string observer;                    ///< the entry to which it was made; empty for this one
+    std::chrono::milliseconds cold_left{0};  ///< for which the endpoint remains cold
 
     friend bool operator==(const endpoint_availability&, const endpoint_availability&) = default;
 };
@@ -70,6 +80,10 @@
     /// Records that the endpoint has refused a request and wants no more for some time.
     /// @param seconds value of the response's field; no more than `config::longest_pause` is observed
     void record_pause(const endpoint_record& endpoint, const std::string& seconds);
+    /// Records how long the endpoint remains cold.
+    /// @param left_ms value of the response's field
+    void record_cold(const endpoint_record& endpoint, const std::string& left_ms);
+    void record_cold(const endpoint_record& endpoint, std::chrono::milliseconds left);
     [[nodiscard]] endpoint_availability availability_of(const endpoint_record& endpoint) const;
 
     /// Counts a request that this entry sends.
@@ -85,6 +99,15 @@
     [[nodiscard]] std::vector<reported_leave> report_leaves(std::chrono::milliseconds max_age) const;
     void merge_leaves(const std::string& peer, const std::vector<reported_leave>& reported);
 
+    /// @returns the cold endpoints that this process has read itself, in the store or in a response; nothing if none
+    [[nodiscard]] std::optional<std::vector<reported_cold>> report_cold() const;
+    void merge_cold(const std::optional<std::vector<reported_cold>>& reported);
+    /// @returns number of endpoints that are known to be cold
+    [[nodiscard]] std::size_t count_cold() const;
+
+    using incarnation = std::uint64_t; ///< digest of the endpoint's instance and start
+    static incarnation incarnation_of(const endpoint_record& endpoint);
+
   private:
     struct limited_endpoint {
         double limit_per_s{0.0};
@@ -102,11 +125,10 @@
         std::string leaving_observer; ///< the other entry that received that response
         steady_time paused_until{};
         steady_time paused_since{};
+        steady_time cold_until{};
+        bool is_cold_reported{false}; ///< the time comes from another process
     };
 
-    using incarnation = std::uint64_t; ///< digest of the endpoint's instance and start
-
-    static incarnation incarnation_of(const endpoint_record& endpoint);
     limited_endpoint& endpoint_of(endpoint_digest endpoint, double limit_per_s, steady_time now);
     void drop_old(steady_time now);
 
--- a/src/direct/header_names.h
+++ b/src/direct/header_names.h
@@ -16,7 +16,8 @@
     std::string not_run;   ///< set by an endpoint that did not run the request
     /// Requests per second, a decimal number, that the endpoint accepts from all entries together; set by endpoints.
     std::string rate_limit;
-    std::string leaving; ///< "1" in all responses of an endpoint that leaves
+    std::string cold_left_ms; ///< for which the endpoint remains cold; set by endpoints
+    std::string leaving;      ///< "1" in all responses of an endpoint that leaves
     /// Segments of the prompt in order, as comma-separated ID:TOKENS; requests share all segments but the last.
     std::string prompt_segments;
 
--- a/src/direct/peer_link.cpp
+++ b/src/direct/peer_link.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <utility>
 
 namespace pomelohoist {
@@ -109,10 +110,12 @@
         const auto max_age = is_full ? config::periodic_limit_report_time : config::limit_report_time;
         update.limits = this->statements->report(max_age);
         update.leaves = this->statements->report_leaves(max_age);
+        update.cold = this->statements->report_cold();
     }
     {
         const std::lock_guard lock{this->mutex};
         update.local_rank = this->rank;
+        this->possible_entry_count = this->count_possible_entries();
     }
     return update;
 }
@@ -201,6 +204,19 @@
     return smaller;
 }
 
+std::uint32_t peer_link::count_possible_entries() const {
+    std::uint32_t others = 0;
+    std::set<net_address> known{this->options.own.address};
+    for (const auto& [name, peer] : this->peers) {
+        known.insert(peer.address);
+        others += peer.is_entry || !peer.last_seen_at ? 1U : 0U;
+    }
+    for (const net_address& seed : this->options.seeds) {
+        others += known.insert(seed).second ? 1U : 0U;
+    }
+    return others + (this->options.is_entry ? 1U : 0U);
+}
+
 bool peer_link::is_recipient(const peer_state& peer, audience recipients) const {
     switch (recipients) {
     case audience::live_entries:
@@ -376,6 +392,7 @@
         if (this->statements != nullptr) {
             this->statements->merge(update.sender, update.limits);
             this->statements->merge_leaves(update.sender, update.leaves);
+            this->statements->merge_cold(update.cold);
         }
     }
     if (this->crashes != nullptr && update.evidence && this->crashes->merge(*update.evidence) &&
--- a/src/direct/peer_link.h
+++ b/src/direct/peer_link.h
@@ -86,6 +86,8 @@
     /// @returns number of live entries whose names sort before this process's name; the entry with 0 reads the
     /// store continuously, and entries with small numbers are the first to replace it as reader
     [[nodiscard]] std::uint32_t rank_among_live() const;
+    /// @returns number of processes that are entries or may be, including those that do not respond
+    [[nodiscard]] std::uint32_t possible_entries() const { return this->possible_entry_count; }
 
   private:
     enum class audience : std::uint8_t { live_entries, silent_entries, entries, group, everyone, count };
@@ -117,6 +119,8 @@
     }
     void send_to(const std::string& bytes, const std::vector<Poco::Net::SocketAddress>& addresses);
     [[nodiscard]] std::vector<Poco::Net::SocketAddress> targets(audience recipients) const;
+    /// Requires the mutex.
+    [[nodiscard]] std::uint32_t count_possible_entries() const;
     /// @returns number of live entries, including this process if it is one; requires the mutex
     [[nodiscard]] std::size_t live_entries() const;
     [[nodiscard]] bool is_live(const peer_state& peer) const;
@@ -139,6 +143,7 @@
     inner::stream_listener listener;
     std::unique_ptr<inner::stream_server> server;
     std::atomic<std::uint64_t> next_sequence;
+    std::atomic<std::uint32_t> possible_entry_count{1}; ///< renewed with each update that is sent
     std::atomic<bool> stopping{false};
     mutable std::mutex mutex;
     std::condition_variable changed;
--- a/src/direct/routing_table.h
+++ b/src/direct/routing_table.h
@@ -77,9 +77,11 @@
     std::string name;
     std::uint32_t max_connections{0}; ///< of one endpoint, from all callers together
     std::optional<expert_layout> experts;
+    std::uint32_t cold_ms{0}; ///< for which an endpoint is cold after its start
+    double cold_per_s{0.0};   ///< requests that a cold endpoint tolerates, from all entries together; 0: any number
 
     template <class Archive> void serialize(Archive& archive) {
-        archive(this->name, this->max_connections, this->experts);
+        archive(this->name, this->max_connections, this->experts, this->cold_ms, this->cold_per_s);
     }
     friend bool operator==(const service&, const service&) = default;
 };
--- a/src/direct/store_watcher.cpp
+++ b/src/direct/store_watcher.cpp
@@ -11,9 +11,10 @@
 
 store_watcher::store_watcher(control_store& platform, peer_record own, bool is_entry_process,
                              routing_state& current_state, peer_link& link, crash_quarantine* known_crashes,
-                             const clock& time_source, structured_log& process_log, metrics_registry& metrics)
+                             endpoint_statements* stated, const clock& time_source, structured_log& process_log,
+                             metrics_registry& metrics)
     : store(platform), self(std::move(own)), is_entry(is_entry_process), state(current_state), peers(link),
-      time(time_source), log(process_log), calls(metrics.get_counter("store_calls_total")),
+      statements(stated), time(time_source), log(process_log), calls(metrics.get_counter("store_calls_total")),
       failures(metrics.get_counter("store_failures_total")) {
     if (known_crashes != nullptr) {
         this->quarantines.emplace(this->store, *known_crashes, this->time, this->calls);
@@ -245,6 +246,7 @@
         this->record_call(snapshot ? result<done>{done{}} : result<done>{snapshot.last_error()}, "read_endpoints");
         if (snapshot) {
             this->state.observe_era(snapshot->revision.era);
+            this->record_cold(snapshot->cold);
             this->replace_endpoints(*snapshot);
         }
         return snapshot.has_value();
@@ -260,6 +262,7 @@
     }
     this->record_call(done{}, "follow_endpoints");
     this->state.observe_era(changes->revision.era);
+    this->record_cold(changes->cold);
     this->set_endpoints_revision(changes->revision);
     this->is_unpublished = this->apply(*changes) || this->is_unpublished;
     this->apply_due_removals();
@@ -269,6 +272,15 @@
     return true;
 }
 
+void store_watcher::record_cold(const std::vector<cold_endpoint>& cold) {
+    if (this->statements == nullptr) {
+        return;
+    }
+    for (const cold_endpoint& each : cold) {
+        this->statements->record_cold(each.endpoint, each.left);
+    }
+}
+
 bool store_watcher::is_store_reliable() const {
     const auto is_over = [this](const std::optional<steady_time>& at) {
         return !at || this->time.now() - *at > config::store_recovery_grace;
--- a/src/direct/store_watcher.h
+++ b/src/direct/store_watcher.h
@@ -29,10 +29,11 @@
 class store_watcher {
   public:
     /// @param known_crashes null in processes that forward no requests
+    /// @param stated null in the same processes
     /// @param is_entry_process true for entries; other processes read the store only when updates have stopped
     store_watcher(control_store& platform, peer_record own, bool is_entry_process, routing_state& current_state,
-                  peer_link& link, crash_quarantine* known_crashes, const clock& time_source,
-                  structured_log& process_log, metrics_registry& metrics);
+                  peer_link& link, crash_quarantine* known_crashes, endpoint_statements* stated,
+                  const clock& time_source, structured_log& process_log, metrics_registry& metrics);
     ~store_watcher();
     store_watcher(const store_watcher&) = delete;
     store_watcher& operator=(const store_watcher&) = delete;
@@ -60,6 +61,7 @@
     void replace_endpoints(const endpoint_snapshot& snapshot);
     /// Removes endpoints whose removal was delayed while the store was not reliable and is due now.
     void apply_due_removals();
+    void record_cold(const std::vector<cold_endpoint>& cold);
     void publish();
     void set_endpoints_revision(const store_revision& revision);
     [[nodiscard]] std::chrono::milliseconds stale_after() const;
@@ -75,6 +77,7 @@
     bool is_entry;
     routing_state& state;
     peer_link& peers;
+    endpoint_statements* statements;
     const clock& time;
     structured_log& log;
     counter& calls;
--- a/src/ranks/rank_daemon.cpp
+++ b/src/ranks/rank_daemon.cpp
@@ -90,8 +90,9 @@
             return failure{error_kind::invalid_settings, "the address cannot be bound: " + error.displayText()};
         }
         this->store = this->platform.connect_store(this->values, this->context.log);
-        this->watcher = std::make_unique<store_watcher>(*this->store, own, false, *this->routing, *this->link, nullptr,
-                                                        this->context.time, this->context.log, this->context.metrics);
+        this->watcher =
+            std::make_unique<store_watcher>(*this->store, own, false, *this->routing, *this->link, nullptr, nullptr,
+                                            this->context.time, this->context.log, this->context.metrics);
         this->link->start();
         this->watcher->start();
         this->thread = std::thread{[this] { this->coordinate_loop(); }};
--- a/tests/adapter/row_control_store_test.cpp
+++ b/tests/adapter/row_control_store_test.cpp
@@ -96,6 +96,29 @@
     EXPECT_EQ(next->content->limits.body_bytes, 100U);
 }
 
+// Guards against cold endpoints that are not recognized, and against a new version of the endpoint list whenever the
+// remaining time in a registration changes.
+TEST_F(row_control_store_test, reads_cold_endpoints) {
+    std::string cold{registration};
+    cold.insert(cold.size() - 1, R"(,"cold_left_ms":2500)");
+    this->platform.put("servers", "warm", registration);
+    this->platform.put("servers", "cold", cold);
+    const auto snapshot = this->store.read_endpoints();
+    ASSERT_TRUE(snapshot);
+    ASSERT_EQ(snapshot->endpoints.size(), 2U);
+    ASSERT_EQ(snapshot->cold.size(), 1U);
+    EXPECT_EQ(snapshot->cold.front().endpoint.instance, "cold");
+    EXPECT_EQ(snapshot->cold.front().left, std::chrono::milliseconds{2500});
+    cold.replace(cold.find("2500"), 4, "1500");
+    this->platform.put("servers", "cold", cold);
+    const auto changes = this->store.watch_endpoints(snapshot->revision);
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes->changes.size(), 1U);
+    EXPECT_EQ(changes->changes.front().record, snapshot->cold.front().endpoint);
+    ASSERT_EQ(changes->cold.size(), 1U);
+    EXPECT_EQ(changes->cold.front().left, std::chrono::milliseconds{1500});
+}
+
 // Guards against evacuations that are not read, or that stay in force after their row has been removed, with and
 // without a declaration in the store.
 TEST_F(row_control_store_test, reads_evacuations) {
--- a/tests/direct/direct_fixture.h
+++ b/tests/direct/direct_fixture.h
@@ -105,6 +105,7 @@
                    this->time,
                    this->log};
     cooldown_tracker cooldowns{this->time};
+    cold_start_limit cold{{1.5, 5.0}, this->time};
     shared_retry_budget budget{{0.2, 100.0, std::chrono::milliseconds{10000}}, this->time};
     connection_pool connections{this->time};
     buffer_budget buffers{config::response_buffer_bytes};
@@ -113,8 +114,8 @@
                                this->time,   this->log,   this->metrics};
     crash_reporter reporter{this->prober, this->crashes, this->lost_runs, this->link,
                             this->time,   this->log,     this->metrics};
-    admission_queue admission{this->state,      this->tracker, this->link, this->cooldowns,
-                              this->statements, this->random,  this->time};
+    admission_queue admission{this->state,      this->tracker, this->link,   this->cooldowns,
+                              this->statements, this->cold,    this->random, this->time};
     forwarding_parts parts{this->names,   this->admission, this->connections, this->cooldowns, this->budget,
                            this->buffers, this->tracker,   this->random,      this->time,      this->log,
                            this->metrics, this->reporter,  this->statements};
--- a/tests/direct/spread_fixture.h
+++ b/tests/direct/spread_fixture.h
@@ -223,8 +223,8 @@
         : own{name, {"127.0.0.1", free_port()}},
           link({this->own, is_entry, std::move(seeds)}, this->state, this->tracker, &this->crashes, &this->statements,
                nullptr, this->time, this->log),
-          watcher(store, this->own, is_entry, this->state, this->link, &this->crashes, this->time, this->log,
-                  this->metrics) {}
+          watcher(store, this->own, is_entry, this->state, this->link, &this->crashes, &this->statements, this->time,
+                  this->log, this->metrics) {}
     ~node() {
         this->watcher.stop();
         this->link.stop();
