--- a/src/direct/admission_queue.cpp
+++ b/src/direct/admission_queue.cpp
@@ -51,15 +51,25 @@
 
 admission_queue::admission_queue(routing_state& current_state, load_tracker& loads, unread_prompts& unread,
                                  peer_link& link, cooldown_tracker& recent_failures, endpoint_statements& stated,
-                                 stream_capacity& carried_streams, random_source& randomness, const clock& time_source)
+                                 cold_start_limit& cold_endpoints, stream_capacity& carried_streams,
+                                 random_source& randomness, const clock& time_source)
     : state(current_state), tracker(loads), prompts(unread), peers(link), cooldowns(recent_failures),
-      statements(stated), capacity(carried_streams), random(randomness), time(time_source) {}
+      statements(stated), cold(cold_endpoints), capacity(carried_streams), random(randomness), time(time_source) {}
 
-std::vector<endpoint_candidate> admission_queue::candidates_for(const admission_request& request,
-                                                                const routing_snapshot& snapshot,
-                                                                std::string& statement) const {
+struct admission_queue::candidate_list {
     std::vector<endpoint_candidate> candidates;
+    std::string statement; ///< that keeps the request from an endpoint, or empty
+};
+
+admission_queue::candidate_list admission_queue::find_candidates(const admission_request& request,
+                                                                 const routing_snapshot& snapshot) {
+    candidate_list found;
     const double tokens_per_s = reading_rate_of(snapshot, request.service);
+    const service* const declared = snapshot.routing ? snapshot.routing->find_service(request.service) : nullptr;
+    const cold_rate rate = declared != nullptr
+                               ? cold_rate{std::chrono::milliseconds{declared->cold_ms}, declared->cold_per_s}
+                               : cold_rate{};
+    const std::uint32_t entries = rate.per_s > 0.0 ? this->peers.possible_entries() : 1;
     const std::vector<net_address> closed = this->peers.closed_engines();
     const std::size_t endpoint_count = snapshot.endpoints ? snapshot.endpoints->endpoints.size() : 0;
     for (std::size_t i = 0; i < endpoint_count; ++i) {
@@ -68,12 +78,13 @@
             continue;
         }
         if (snapshot.is_evacuated(record.data_centre)) {
-            statement = "data centre " + record.data_centre + " is evacuated";
+            found.statement = "data centre " + record.data_centre + " is evacuated";
+            this->cold.forget(endpoint_statements::incarnation_of(record));
             continue;
         }
         const endpoint_availability availability = this->statements.availability_of(record);
         if (availability.is_leaving || availability.pause_left > std::chrono::milliseconds{0}) {
-            statement = to_text(record, availability);
+            found.statement = to_text(record, availability);
         }
         if (availability.is_leaving) {
             continue;
@@ -82,12 +93,15 @@
         const bool was_tried =
             std::find(request.tried.begin(), request.tried.end(), record.instance) != request.tried.end();
         const bool is_closed = std::find(closed.begin(), closed.end(), record.address) != closed.end();
-        candidates.push_back({i, this->tracker.total(digest), record.slots,
-                              capacity_of(record.slots, request.is_stream), this->cooldowns.in_cooldown(digest),
-                              was_tried, is_closed, !this->statements.has_room(digest), availability.pause_left,
-                              this->prompts.reading_time(digest, tokens_per_s)});
+        const bool is_limited =
+            !this->statements.has_room(digest) ||
+            !this->cold.has_room(endpoint_statements::incarnation_of(record), rate, availability.cold_left, entries);
+        found.candidates.push_back({i, this->tracker.total(digest), record.slots,
+                                    capacity_of(record.slots, request.is_stream), this->cooldowns.in_cooldown(digest),
+                                    was_tried, is_closed, is_limited, availability.pause_left,
+                                    this->prompts.reading_time(digest, tokens_per_s)});
     }
-    return candidates;
+    return found;
 }
 
 void admission_queue::limit_streams(const admission_request& request, std::vector<endpoint_candidate>& candidates) {
@@ -113,8 +127,7 @@
 
 admission_result admission_queue::try_admit(const admission_request& request) {
     const routing_snapshot snapshot = this->state.current();
-    std::string statement;
-    std::vector<endpoint_candidate> candidates = this->candidates_for(request, snapshot, statement);
+    auto [candidates, statement] = this->find_candidates(request, snapshot);
     this->limit_streams(request, candidates);
     const endpoint_choice choice = choose_endpoint(candidates, this->random);
     if (!choice.index) {
@@ -132,6 +145,7 @@
     const endpoint_record& chosen = snapshot.endpoints->endpoints[*choice.index];
     // Before the permit is created: its constructor sends the update that contains this request.
     this->statements.record_request(digest_of_instance(chosen.instance));
+    this->cold.record_request(endpoint_statements::incarnation_of(chosen));
     auto permit = std::make_unique<endpoint_permit>(chosen, this->tracker, this->prompts, this->peers,
                                                     request.prompt_tokens, reading_rate_of(snapshot, request.service));
     return {admission_outcome::admitted, std::move(permit), {}, {}};
--- a/src/direct/admission_queue.h
+++ b/src/direct/admission_queue.h
@@ -5,6 +5,7 @@
 #include "direct/endpoint_statements.h"
 #include "direct/peer_link.h"
 #include "direct/routing_state.h"
+#include "placement/cold_start_limit.h"
 #include "placement/cooldown_tracker.h"
 #include "placement/endpoint_choice.h"
 #include "placement/load_tracker.h"
@@ -88,8 +89,8 @@
 class admission_queue {
   public:
     admission_queue(routing_state& current_state, load_tracker& loads, unread_prompts& unread, peer_link& link,
-                    cooldown_tracker& recent_failures, endpoint_statements& stated, stream_capacity& carried_streams,
-                    random_source& randomness, const clock& time_source);
+                    cooldown_tracker& recent_failures, endpoint_statements& stated, cold_start_limit& cold_endpoints,
+                    stream_capacity& carried_streams, random_source& randomness, const clock& time_source);
 
     /// Waits until the request is admitted, its time limit has passed or its caller has disconnected.
     admission_result acquire(const admission_request& request, caller_connection_monitor& caller);
@@ -109,8 +110,9 @@
     using waiting_queue = std::map<waiting_key, bool>;
 
     admission_result try_admit(const admission_request& request);
-    [[nodiscard]] std::vector<endpoint_candidate>
-    candidates_for(const admission_request& request, const routing_snapshot& snapshot, std::string& statement) const;
+    /// Endpoints that may be considered for the request.
+    struct candidate_list;
+    [[nodiscard]] candidate_list find_candidates(const admission_request& request, const routing_snapshot& snapshot);
     /// Applies the limit of the service's streams to the candidates.
     void limit_streams(const admission_request& request, std::vector<endpoint_candidate>& candidates);
     /// @returns true when capacity that becomes free is not for an earlier request
@@ -122,6 +124,7 @@
     peer_link& peers;
     cooldown_tracker& cooldowns;
     endpoint_statements& statements;
+    cold_start_limit& cold;
     stream_capacity& capacity;
     random_source& random;
     const clock& time;
--- a/src/direct/direct_messages.h
+++ b/src/direct/direct_messages.h
@@ -55,6 +55,7 @@
     std::vector<reported_leave> leaves;
     std::optional<std::uint64_t> evacuations_revision; ///< absent while there has never been an evacuation
     std::optional<std::vector<unread_load>> unread;    ///< empty when all prompts of the sender are read
+    std::optional<std::vector<reported_cold>> cold;    ///< absent while there is none
 
     [[nodiscard]] routing_versions versions() const {
         return {this->routing_version, this->endpoints_revision, this->evacuations_revision.value_or(0)};
@@ -62,7 +63,7 @@
     template <class Archive> void serialize(Archive& archive) {
         archive(this->sender, this->is_entry, this->sequence, this->routing_version, this->endpoints_revision,
                 this->store_age_ms, this->loads, this->local_rank, this->quarantine_summary, this->evidence,
-                this->limits, this->leaves, this->evacuations_revision, this->unread);
+                this->limits, this->leaves, this->evacuations_revision, this->unread, this->cold);
     }
     friend bool operator==(const peer_update&, const peer_update&) = default;
 };
--- a/src/direct/peer_link.cpp
+++ b/src/direct/peer_link.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <utility>
 
 namespace pomelohoist {
@@ -109,11 +110,13 @@
         const auto max_age = is_full ? config::periodic_limit_report_time : config::limit_report_time;
         update.limits = this->statements->report(max_age);
         update.leaves = this->statements->report_leaves(max_age);
+        update.cold = this->statements->report_cold();
     }
     update.unread = this->prompts != nullptr ? this->prompts->own_loads() : std::nullopt;
     {
         const std::lock_guard lock{this->mutex};
         update.local_rank = this->rank;
+        this->possible_entry_count = this->count_possible_entries();
     }
     return update;
 }
@@ -182,24 +185,17 @@
     this->send_to(this->encode_update(update_content::full), this->targets(audience::entries));
 }
 
-std::vector<net_address> peer_link::closed_engines() const {
-    const std::lock_guard lock{this->mutex};
-    std::vector<net_address> closed;
+std::uint32_t peer_link::count_possible_entries() const {
+    std::uint32_t others = 0;
+    std::set<net_address> known{this->options.own.address};
     for (const auto& [name, peer] : this->peers) {
-        if (peer.local_rank && !peer.local_rank->is_open && this->is_live(peer)) {
-            closed.push_back(peer.local_rank->engine);
-        }
+        known.insert(peer.address);
+        others += peer.is_entry || !peer.last_seen_at ? 1U : 0U;
     }
-    return closed;
-}
-
-std::uint32_t peer_link::rank_among_live() const {
-    const std::lock_guard lock{this->mutex};
-    std::uint32_t smaller = 0;
-    for (const auto& [name, peer] : this->peers) {
-        smaller += peer.is_entry && name < this->options.own.name && this->is_live(peer) ? 1U : 0U;
+    for (const net_address& seed : this->options.seeds) {
+        others += known.insert(seed).second ? 1U : 0U;
     }
-    return smaller;
+    return others + (this->options.is_entry ? 1U : 0U);
 }
 
 bool peer_link::is_recipient(const peer_state& peer, audience recipients) const {
@@ -244,27 +240,6 @@
     this->changed.notify_all();
 }
 
-std::vector<group_peer> peer_link::group_peers(const std::string& group) const {
-    const std::lock_guard lock{this->mutex};
-    std::map<std::uint32_t, std::pair<steady_time, group_peer>> by_rank;
-    for (const auto& [name, peer] : this->peers) {
-        if (!peer.local_rank || peer.local_rank->group != group || !peer.last_seen_at) {
-            continue;
-        }
-        const group_peer found{name, peer.address, peer.local_rank->rank, peer.local_rank->engine, this->is_live(peer)};
-        const auto previous = by_rank.find(found.rank);
-        if (previous == by_rank.end() || previous->second.first < *peer.last_seen_at) {
-            by_rank[found.rank] = {*peer.last_seen_at, found};
-        }
-    }
-    std::vector<group_peer> members;
-    members.reserve(by_rank.size());
-    for (const auto& [rank_number, found] : by_rank) {
-        members.push_back(found.second);
-    }
-    return members;
-}
-
 void peer_link::update_loop() {
     while (!this->stopping) {
         const std::chrono::milliseconds wait = this->send_due_updates();
@@ -380,6 +355,7 @@
         if (this->statements != nullptr) {
             this->statements->merge(update.sender, update.limits);
             this->statements->merge_leaves(update.sender, update.leaves);
+            this->statements->merge_cold(update.cold);
         }
     }
     if (this->crashes != nullptr && update.evidence && this->crashes->merge(*update.evidence) &&
