--- a/src/agent/http_call.cpp
+++ b/src/agent/http_call.cpp
@@ -1,6 +1,7 @@
 #include "agent/http_call.h"
 
 #include "http/http_client.h"
+#include "http/status_code.h"
 
 #include <pomelohoist/config.h>
 
@@ -148,11 +149,18 @@
                          endpoint_sink& sink) {
     send_request(session, target, request);
     HTTPResponse response;
-    std::istream& body = session.receiveResponse(response);
+    std::istream* body = &session.receiveResponse(response);
+    // POCO skips 100 only, and accepts any number as a status and any word as a version.
+    for (std::uint32_t i = 0; i < config::max_interim_responses && is_interim_status(response.getStatus()); ++i) {
+        body = &session.receiveResponse(response);
+    }
+    if (!is_final_status(response.getStatus()) || !response.getVersion().starts_with("HTTP/1.")) {
+        return {run_outcome::broken, "the endpoint sent no HTTP response"};
+    }
     if (!sink.on_head(static_cast<std::uint16_t>(response.getStatus()), response_headers(response))) {
         return {run_outcome::aborted, "ended by the receiver"};
     }
-    const std::optional<std::uint64_t> received = forward_body(body, sink);
+    const std::optional<std::uint64_t> received = forward_body(*body, sink);
     if (!received) {
         return {run_outcome::aborted, "ended by the receiver"};
     }
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "http/http_connection.h"
 
+#include "http/status_code.h"
+
 #include <pomelohoist/config.h>
 
 #include <Poco/Exception.h>
@@ -23,10 +25,8 @@
 
 constexpr std::size_t read_buffer_bytes = 16384;
 constexpr long long microseconds_per_millisecond = 1000;
-constexpr std::uint16_t first_final_status = 200;
 constexpr std::uint16_t status_no_content = 204;
 constexpr std::uint16_t status_not_modified = 304;
-constexpr std::uint16_t max_status = 599;
 constexpr std::size_t max_poll_ms = 60000;
 
 /// @returns the number in "timeout=N" of a Keep-Alive field, in seconds
@@ -173,7 +173,7 @@
         const std::size_t end = this->received.find("\r\n\r\n");
         if (end != std::string::npos) {
             const exchange_state parse_state = this->parse_head(end, is_head_request, response);
-            if (parse_state != exchange_state::ready || response.status >= first_final_status) {
+            if (parse_state != exchange_state::ready || is_final_status(response.status)) {
                 return parse_state;
             }
             if (++interim_responses > config::max_interim_responses) {
@@ -194,14 +194,16 @@
 exchange_state http_connection::parse_head(std::size_t end, bool is_head_request, http_response_head& response) {
     constexpr std::size_t blank_line_bytes = 4;
     std::istringstream head{this->received.substr(0, end + blank_line_bytes)};
-    if (this->received.compare(0, 7, "HTTP/1.") != 0) {
+    // POCO accepts any number as a status.
+    const std::optional<std::uint16_t> status = parse_status_line(this->received);
+    if (!status) {
         return exchange_state::broken;
     }
+    response.status = *status;
     this->received.erase(0, end + blank_line_bytes);
     try {
         Poco::Net::HTTPResponse parsed;
         parsed.read(head);
-        response.status = static_cast<std::uint16_t>(parsed.getStatus());
         response.headers.clear();
         for (const auto& [name, value] : parsed) {
             response.headers.push_back({name, value});
@@ -209,7 +211,7 @@
     } catch (const Poco::Exception&) {
         return exchange_state::broken;
     }
-    if (response.status > max_status || !this->choose_framing(is_head_request, response)) {
+    if (!this->choose_framing(is_head_request, response)) {
         return exchange_state::broken;
     }
     this->record_reuse(response);
@@ -220,7 +222,7 @@
     this->chunks = chunk_decoder{};
     this->body_remaining = 0;
     this->body_framing = framing::none;
-    if (is_head_request || response.status < first_final_status || response.status == status_no_content ||
+    if (is_head_request || !is_final_status(response.status) || response.status == status_no_content ||
         response.status == status_not_modified) {
         return true;
     }
--- a/tests/agent/http_call_test.cpp
+++ b/tests/agent/http_call_test.cpp
@@ -45,6 +45,7 @@
     void on_send() override { this->sent = true; }
     bool on_head(std::uint16_t http_status, const std::vector<inner::header_field>& /*headers*/) override {
         this->status = http_status;
+        ++this->heads;
         return true;
     }
     bool on_data(std::string_view data) override {
@@ -53,6 +54,7 @@
     }
 
     bool sent{false};
+    int heads{0};
     std::uint16_t status{0};
     std::string body;
 };
@@ -86,6 +88,40 @@
     EXPECT_EQ(run_against(head + "8\r\ndata: [D\r\n7\r\nONE]\n\n\n\r\n0\r\n\r\n", true, sink), run_outcome::completed);
 }
 
+// Guards against bytes that are no response but are forwarded as one, and against a second head that is taken for the
+// response.
+TEST(http_call_test, statuses_outside_of_http_are_broken) {
+    for (const std::string status :
+         {"000", "099", "101", "600", "999", "2000", "65736", "+200", "-200", "20x", "20", "+20", ""}) {
+        for (const std::string rest : {"Content-Length: 3\r\n\r\nabc", "\r\nabc", "\r\n",
+                                       "\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"}) {
+            std::string bytes = "HTTP/1.1 " + status;
+            bytes += " Odd\r\n";
+            bytes += rest;
+            collecting_sink sink;
+            EXPECT_EQ(run_against(bytes, false, sink), run_outcome::broken) << status << " " << rest;
+            EXPECT_TRUE(sink.sent);
+            EXPECT_EQ(sink.status, 0) << status << " " << rest;
+            EXPECT_EQ(sink.heads, 0) << status << " " << rest;
+            EXPECT_EQ(sink.body, "") << status << " " << rest;
+        }
+    }
+}
+
+// Guards against an interim response that is forwarded as the final one.
+TEST(http_call_test, interim_responses_are_skipped) {
+    for (const std::string interim : {"100 Continue", "102 Processing", "103 Early Hints"}) {
+        collecting_sink sink;
+        EXPECT_EQ(
+            run_against("HTTP/1.1 " + interim + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", true, sink),
+            run_outcome::completed)
+            << interim;
+        EXPECT_EQ(sink.status, 200) << interim;
+        EXPECT_EQ(sink.heads, 1) << interim;
+        EXPECT_EQ(sink.body, "abc") << interim;
+    }
+}
+
 // Guards against full responses that are classified as broken.
 TEST(http_call_test, full_bodies_are_completed) {
     collecting_sink sink;
