--- a/tests/direct/evacuation_test.cpp
+++ b/tests/direct/evacuation_test.cpp
@@ -152,7 +152,7 @@
     std::vector<std::unique_ptr<endpoint_permit>> held;
     const endpoint_record listed = entry.state.current().endpoints->endpoints.front();
     while (held.size() < capacity_of(listed.slots, false)) {
-        held.push_back(std::make_unique<endpoint_permit>(listed, entry.tracker, entry.link));
+        held.push_back(std::make_unique<endpoint_permit>(listed, entry.tracker, entry.prompts, entry.link, 0, 0.0));
     }
     test_support::http_response refusal;
     std::thread waiting{[&] { refusal = entry.call("GET", "/safe/x"); }};
