Room by importance: the importance of routes, and only levels with a share of the requests

Levels now are those of routes that have a twentieth of the recent requests: checks of single routes keep no room.

--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -298,6 +298,7 @@
 inline constexpr double share_per_level = 0.1;
 inline constexpr std::uint32_t max_importance_levels = 3;
 inline constexpr std::chrono::seconds importance_memory{5};
+inline constexpr double least_level_share = 0.05;
 // The first event follows the admission after some two passes, each of which may take the target for a pause.
 inline constexpr int passes_to_first_event = 2;
 // Added to Retry-After when a stream finds no capacity: streams that run for some 2 s have ended then.
--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -54,8 +54,8 @@
 direct_forwarder::direct_forwarder(const forwarding_parts& process_parts, const direct_request& resolved,
                                    response_sink& caller_response, caller_connection_monitor& caller_connection)
     : parts(process_parts), request(resolved),
-      more_important(process_parts.levels.record(resolved.service, resolved.importance)), sink(caller_response),
-      caller(caller_connection), events(resolved.raw.header("Last-Event-Id").value_or("")) {}
+      more_important(process_parts.levels.record(resolved.service, resolved.matched_route->importance)),
+      sink(caller_response), caller(caller_connection), events(resolved.raw.header("Last-Event-Id").value_or("")) {}
 
 forwarding_outcome direct_forwarder::run() {
     this->parts.budget.record_request(this->request.service);
--- a/src/placement/stream_capacity.cpp
+++ b/src/placement/stream_capacity.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace pomelohoist {
 
@@ -83,10 +84,24 @@
 std::uint32_t importance_levels::record(const std::string& service, std::uint32_t importance) {
     const std::lock_guard lock{this->mutex};
     const steady_time now = this->time.now();
-    std::map<std::uint32_t, steady_time>& levels = this->last_requests[service];
-    levels[importance] = now;
-    std::erase_if(levels, [now](const auto& level) { return now - level.second > config::importance_memory; });
-    return static_cast<std::uint32_t>(std::distance(levels.begin(), levels.find(importance)));
+    recent_requests& recent = this->services.try_emplace(service, recent_requests{now, {}, {}}).first->second;
+    if (const auto age = now - recent.begin; age >= config::importance_memory) {
+        recent.previous = age < 2 * config::importance_memory ? std::move(recent.current) : request_counts{};
+        recent.current.clear();
+        recent.begin = now;
+    }
+    ++recent.current[importance];
+    request_counts counts = recent.previous;
+    std::uint64_t total = 0;
+    for (const auto& [level, count] : recent.current) {
+        counts[level] += count;
+    }
+    for (const auto& [level, count] : counts) {
+        total += count;
+    }
+    const double least = config::least_level_share * static_cast<double>(total);
+    return static_cast<std::uint32_t>(std::count_if(counts.begin(), counts.lower_bound(importance),
+                                                    [least](const auto& level) { return level.second >= least; }));
 }
 
 } // namespace pomelohoist
--- a/src/placement/stream_capacity.h
+++ b/src/placement/stream_capacity.h
@@ -74,13 +74,21 @@
   public:
     explicit importance_levels(const clock& time_source) : time(time_source) {}
 
-    /// Records a request, and counts the levels that are more important and were asked for lately.
+    /// Records a request, and counts the levels that are more important and had a share of the recent requests of at
+    /// least `config::least_level_share`: a few requests, such as checks of a route, do not need room.
     std::uint32_t record(const std::string& service, std::uint32_t importance);
 
   private:
+    using request_counts = std::map<std::uint32_t, std::uint64_t>; ///< by importance
+    struct recent_requests {
+        steady_time begin; ///< of `current`
+        request_counts current;
+        request_counts previous; ///< of the period before
+    };
+
     const clock& time;
     std::mutex mutex;
-    std::map<std::string, std::map<std::uint32_t, steady_time>> last_requests;
+    std::map<std::string, recent_requests> services;
 };
 
 } // namespace pomelohoist
--- a/tests/placement/stream_capacity_test.cpp
+++ b/tests/placement/stream_capacity_test.cpp
@@ -154,7 +154,20 @@
     EXPECT_EQ(levels.record(name, 2), 2U);
     EXPECT_EQ(levels.record("other", 2), 0U);
     time.advance(6s);
+    EXPECT_EQ(levels.record(name, 2), 2U);
+    time.advance(6s);
     EXPECT_EQ(levels.record(name, 2), 0U);
 }
 
+// Guards against room that is kept for a few requests of operators or checks.
+TEST(importance_test, a_few_requests_are_no_level) {
+    manual_clock time;
+    importance_levels levels{time};
+    levels.record(name, 0);
+    for (int i = 0; i < 30; ++i) {
+        levels.record(name, 1);
+    }
+    EXPECT_EQ(levels.record(name, 1), 0U);
+}
+
 } // namespace pomelohoist
