--- a/src/placement/stream_capacity.h
+++ b/src/placement/stream_capacity.h
@@ -65,7 +65,7 @@
 /// waits at the others.
 /// @param limit mean number of streams that an endpoint may have
 /// @param slots mean number of requests that an endpoint processes at once
-/// @param more_important number of levels of importance above the request's that have been asked for lately
+/// @param more_important number of levels of importance above the request's that were asked for in the last seconds
 /// @returns infinity for the most important requests: refusing these would help no one who matters more
 double room_for(double limit, double slots, std::uint32_t more_important);
 
