--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -2,6 +2,7 @@
 #include "../support-2/server.h"
 
 #include <atomic>
+#include <exception>
 #include <iostream>
 #include <sstream>
 #include <thread>
@@ -158,5 +159,10 @@
 } // namespace pomelohoist::review
 
 int main() {
-    return static_cast<int>(pomelohoist::review::run());
+    try {
+        return static_cast<int>(pomelohoist::review::run());
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << '\n';
+        return static_cast<int>(pomelohoist::review::verdict::not_run);
+    }
 }
