Review: text in an encoded word becomes fields and requests at the server

Cause: POCO decodes RFC 2047 words in the fields of a request, and the entry writes the decoded values, with their line ends, into the head for the server. Change: case 6 sends notes of two paragraphs, and notes that contain a request.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,158 +1,154 @@
 #include "../support-2/deployment.h"
 #include "../support-2/server.h"
 
-#include <atomic>
+#include "platform/base64.h"
+
+#include <nlohmann/json.hpp>
+
 #include <exception>
 #include <iostream>
 #include <sstream>
-#include <thread>
 
-/// A server sends the first line of a second answer where its next answer is expected.
+/// Clients send a header whose value is text in an encoded word.
 namespace pomelohoist::review {
 namespace {
 
 using namespace std::chrono_literals;
+using nlohmann::json;
 
-constexpr int request_count = 400;
-constexpr int garbled_each = 20; ///< 5 in 100 of the answers, of one of two servers
+constexpr int notes = 40;     ///< requests with a note of two paragraphs
+constexpr int forgeries = 10; ///< requests whose note contains another request
 constexpr std::uint32_t deadline_ms = 4000;
+const std::string own_tenant = "tenant-1"; ///< of the key that all clients send
 
-/// What a server has answered to one request.
-struct given_answer {
-    int status{0};
+struct run_request {
+    std::string id;
+    std::string tenant;
+    std::string target;
     std::string body;
 };
 
-/// Answers by the path: half of the records do not exist. Thread-safe.
-class lookup_server {
+/// Runs each request that it reads. Thread-safe.
+class order_server {
   public:
-    lookup_server(std::string name, bool is_faulty, recorder& log)
-        : id(std::move(name)), faulty(is_faulty), record(log), http([this](channel& caller, const auto& stopping) {
-              std::string last; // first line of the previous answer on this connection
-              serve_requests([this, &last](channel& peer, const message& request) {
-                  return this->answer(peer, request, last);
-              })(caller, stopping);
-          }) {}
+    explicit order_server(recorder& log)
+        : record(log),
+          http(serve_requests([this](channel& caller, const message& request) { return this->run(caller, request); })) {
+    }
     [[nodiscard]] net_address address() const { return this->http.address(); }
-    [[nodiscard]] std::map<std::string, given_answer> answers() {
+    [[nodiscard]] std::vector<run_request> runs() {
         const std::lock_guard lock{this->mutex};
-        return this->given;
+        return this->made;
     }
     void stop() { this->http.stop(); }
 
   private:
-    bool answer(channel& caller, const message& request, std::string& last) {
-        const std::string path = request.word(1);
-        if (path == "/health") {
-            return caller.send(make_response(request, 200, "ok", "X-Pomelohoist-Instance-Id: " + this->id + "\r\n"));
+    bool run(channel& caller, const message& request) {
+        if (!request.word(2).starts_with("HTTP/1.")) {
+            this->record.line("server got no request: \"" + request.first_line + "\"");
+            static_cast<void>(caller.send("HTTP/1.1 400 Bad Request\r\nX-Pomelohoist-Not-Executed: 1\r\n"
+                                          "Connection: close\r\nContent-Length: 0\r\n\r\n"));
+            return false;
         }
-        const bool exists = path.back() % 2 == 0;
-        const given_answer made{exists ? 200 : 404, (exists ? "record " : "no record ") + path};
-        const std::string id_of_request = request.header("x-pomelohoist-attempt-id");
-        std::string bytes = make_response(request, made.status, made.body, "Keep-Alive: timeout=15\r\n");
-        const std::string first_line = bytes.substr(0, bytes.find("\r\n") + 2);
-        std::string note;
+        run_request next{request.header("x-pomelohoist-attempt-id"), request.header("x-pomelohoist-tenant"),
+                         request.word(1), request.body};
+        std::ostringstream note;
+        note << "server runs " << next.id << ' ' << next.target << " tenant \"" << next.tenant << "\" body \""
+             << next.body << '"';
+        this->record.line(note.str());
         {
             const std::lock_guard lock{this->mutex};
-            this->given[id_of_request] = made;
-            if (this->faulty && !last.empty() && ++this->answered % garbled_each == 0) {
-                // A second copy of the previous answer, late and truncated after its first line.
-                bytes.insert(0, last);
-                note = ", after additional bytes \"" + last.substr(0, last.size() - 2) + "\"";
-            }
+            this->made.push_back(std::move(next));
         }
-        last = first_line;
-        this->record.line(this->id + " ran " + id_of_request + " " + path + ", answered " +
-                          std::to_string(made.status) + note);
-        return caller.send(bytes);
+        return caller.send(make_response(request, 200, "ordered"));
     }
 
-    const std::string id;
-    const bool faulty;
     recorder& record;
     std::mutex mutex;
-    std::map<std::string, given_answer> given;
-    int answered{0};
+    std::vector<run_request> made;
     server http;
 };
 
-/// What the rule says of the answers that the client got.
-struct findings {
-    int false_success{0}; ///< a success where the server had answered with a failure
-    int false_status{0};  ///< a failure that bears the server's stamp and another status than it gave
-    int wrong_body{0};
-    int unanswered{0};
-};
+std::string encoded_word(const std::string& text) {
+    return "=?UTF-8?B?" + encode_base64(text) + "?=";
+}
+
+/// @returns the text of a note of two paragraphs, or of one line
+std::string note_text(int number) {
+    const std::string text = "Please ring twice, order " + std::to_string(number);
+    return has_trouble() ? text + "\r\n\r\nThe bell is out of order." : text + ". The bell is out of order.";
+}
+
+/// @returns a note that contains a request of another tenant, or the same words in one line
+std::string forged_text(int number) {
+    const std::string id = "never-sent-" + std::to_string(number);
+    const std::string text = "x\r\nContent-Length: 0\r\n\r\nPOST /order/forged HTTP/1.1\r\nHost: desk.example\r\n"
+                             "X-Pomelohoist-Attempt-Id: " +
+                             id + "\r\nX-Pomelohoist-Tenant: tenant-2\r\nContent-Length: 0\r\n\r\n";
+    return has_trouble() ? text : "x, no request " + id;
+}
 
-void check(const message& response, const std::string& id, std::map<std::string, given_answer> answers,
-           findings& found) {
-    if (response.header("x-pomelohoist-response-stamp").empty() || !answers.contains(id)) {
-        return; // an answer of the entry's own
+std::string config_of_two_tenants() {
+    json config = json::parse(config_json(3, {route_json("/order/", "unsafe", "orders", deadline_ms, 2)}, {"orders"}));
+    config["tenants"].push_back({{"name", "tenant-2"}, {"api_keys", json::array({"key-2"})}, {"priority", 1}});
+    return config.dump();
+}
+
+/// Sends one order on a new connection.
+void send_order(const net_address& front, const std::string& id, const std::string& note, recorder& record) {
+    std::optional<channel> made = channel::connect(front, 1s);
+    const std::string body = "body of " + id;
+    const std::string fields = "X-Note: " + note + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    if (!made || !made->send(request_head("POST", "/order/x", id, deadline_ms, fields) + body)) {
+        return;
     }
-    const given_answer& given = answers.at(id);
-    const bool is_success = response.status() >= 200 && response.status() < 300;
-    found.false_success += is_success && given.status >= 300 ? 1 : 0;
-    found.false_status += !is_success && response.status() != given.status ? 1 : 0;
-    found.wrong_body += response.body != given.body ? 1 : 0;
+    read_end end = read_end::bytes;
+    const std::optional<message> response = read_message(*made, steady::now() + 5s, end);
+    std::ostringstream got;
+    got << "client sent " << id << " with key of " << own_tenant << ", body \"" << body << "\", note " << note
+        << ": status " << (response ? response->status() : 0);
+    record.line(got.str());
 }
 
 verdict run() {
     recorder record{"review/6/record.txt"};
     const std::string work = make_work_folder();
     test_support::row_store store;
-    store.put("op", "config", config_json(3, {route_json("/lookup/", "safe", "stock", deadline_ms, 2)}, {"stock"}));
-    lookup_server first{"i-one", has_trouble(), record};
-    lookup_server second{"i-two", false, record};
+    store.put("op", "config", config_of_two_tenants());
+    order_server orders{record};
+    put_server(store, "i-one", "orders", orders.address(), 6);
     entry front{work, "front-a-1", store.address()};
-    const auto beat = [&] {
-        put_server(store, "i-one", "stock", first.address(), 6);
-        put_server(store, "i-two", "stock", second.address(), 6);
-    };
-    beat();
     if (!front.start()) {
         record.line("the entry did not start");
         return verdict::not_run;
     }
-    findings found;
-    std::optional<channel> caller;
-    for (int i = 0; i < request_count; ++i) {
-        if (i % 60 == 0) {
-            beat();
-        }
-        caller = caller ? std::move(caller) : channel::connect(front.http, 1s);
-        const std::string id = "req-" + std::to_string(i);
-        const std::string path = "/lookup/" + std::to_string(i / 3 * 7 + i);
-        if (!caller || !caller->send(request_head("GET", path, id, deadline_ms))) {
-            caller.reset();
-            continue;
-        }
-        read_end end = read_end::bytes;
-        const std::optional<message> response = read_message(*caller, steady::now() + 5s, end);
-        if (!response || !response->complete) {
-            ++found.unanswered;
-            record.line("client " + id + " got no complete answer");
-            caller.reset();
-            continue;
-        }
-        auto answers = first.answers();
-        answers.merge(second.answers());
-        std::ostringstream got;
-        got << "client " << id << ' ' << path << " got " << response->status() << " stamp \""
-            << response->header("x-pomelohoist-response-stamp") << "\" body \"" << response->body << '"';
-        record.line(got.str());
-        check(*response, id, std::move(answers), found);
-        std::this_thread::sleep_for(5ms);
+    for (int i = 0; i < notes; ++i) {
+        send_order(front.http, "order-" + std::to_string(i), encoded_word(note_text(i)), record);
+    }
+    for (int i = 0; i < forgeries; ++i) {
+        send_order(front.http, "forger-" + std::to_string(i), encoded_word(forged_text(i)), record);
+    }
+    std::this_thread::sleep_for(500ms);
+    orders.stop();
+    int changed = 0;
+    int foreign = 0;
+    int unsent = 0;
+    for (const run_request& each : orders.runs()) {
+        const bool is_sent = each.id.starts_with("order-") || each.id.starts_with("forger-");
+        unsent += is_sent ? 0 : 1;
+        changed += is_sent && each.body != "body of " + each.id ? 1 : 0;
+        foreign += each.tenant != own_tenant ? 1 : 0;
+    }
+    std::ostringstream summary;
+    summary << "UNASKED: of " << orders.runs().size() << " runs, " << changed
+            << " had another body than the client sent, " << foreign << " another tenant than the key's, " << unsent
+            << " an id that no client sent";
+    record.line(summary.str());
+    std::cout << summary.str() << '\n';
+    if (orders.runs().size() < notes) {
+        return verdict::not_run;
     }
-    first.stop();
-    second.stop();
-    const std::string summary = "MIXED: " + std::to_string(found.false_success) + " successes where the server had " +
-                                "answered with a failure, " + std::to_string(found.false_status) +
-                                " failures with another status than the server gave, " +
-                                std::to_string(found.wrong_body) + " wrong bodies; " +
-                                std::to_string(found.unanswered) + " requests without an answer";
-    record.line(summary);
-    std::cout << summary << '\n';
-    return found.false_success + found.false_status + found.wrong_body > 0 ? verdict::broken : verdict::held;
+    return changed + foreign + unsent > 0 ? verdict::broken : verdict::held;
 }
 
 } // namespace
