--- a/tests/agent/http_call_test.cpp
+++ b/tests/agent/http_call_test.cpp
@@ -1,10 +1,13 @@
 #include "agent/endpoint_driver.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <csignal>
+#include <mutex>
 #include <thread>
 
 namespace pomelohoist {
@@ -22,20 +25,35 @@
     raw_server& operator=(const raw_server&) = delete;
 
     [[nodiscard]] net_address address() const { return {"127.0.0.1", this->socket.address().port()}; }
+    /// @returns the request, once the response has been received
+    [[nodiscard]] std::string request() const {
+        const std::lock_guard lock{this->mutex};
+        return this->received;
+    }
 
   private:
     void serve(bool keep_open) {
         Poco::Net::StreamSocket accepted = this->socket.acceptConnection();
         accepted.setReceiveTimeout(Poco::Timespan{5, 0});
         std::array<char, 4096> buffer{};
-        accepted.receiveBytes(buffer.data(), buffer.size());
+        const int count = accepted.receiveBytes(buffer.data(), buffer.size());
+        {
+            const std::lock_guard lock{this->mutex};
+            this->received.assign(buffer.data(), static_cast<std::size_t>(std::max(count, 0)));
+        }
         accepted.sendBytes(this->response.data(), static_cast<int>(this->response.size()));
-        if (keep_open) {
-            accepted.receiveBytes(buffer.data(), buffer.size());
+        try {
+            if (keep_open) {
+                accepted.receiveBytes(buffer.data(), buffer.size());
+            }
+        } catch (const Poco::Exception&) {
+            return; // the client has reset the connection
         }
     }
 
     std::string response;
+    mutable std::mutex mutex;
+    std::string received;
     Poco::Net::ServerSocket socket{Poco::Net::SocketAddress{"127.0.0.1", 0}};
     std::thread thread;
 };
@@ -43,8 +61,9 @@
 class collecting_sink : public endpoint_sink {
   public:
     void on_send() override { this->sent = true; }
-    bool on_head(std::uint16_t http_status, const std::vector<inner::header_field>& /*headers*/) override {
+    bool on_head(std::uint16_t http_status, const std::vector<inner::header_field>& fields) override {
         this->status = http_status;
+        this->headers = fields;
         ++this->heads;
         return true;
     }
@@ -56,6 +75,7 @@
     bool sent{false};
     int heads{0};
     std::uint16_t status{0};
+    std::vector<inner::header_field> headers;
     std::string body;
 };
 
@@ -132,6 +152,57 @@
     EXPECT_EQ(run_against("HTTP/1.1 204 No Content\r\n\r\n", true, sink), run_outcome::completed);
 }
 
+const std::vector<inner::header_field> awkward_fields{{"X-Note", "=?UTF-8?Q?a=0D=0AX-Forged:_1?="},
+                                                      {"X-Note", "first"},
+                                                      {"X-Note", "first"},
+                                                      {"X-Name", "caf\xc3\xa9"},
+                                                      {"X-Empty", ""}};
+
+// Guards against fields that are decoded, merged or dropped between the agent and its endpoint.
+TEST(http_call_test, fields_pass_byte_for_byte) {
+    std::string lines;
+    for (const inner::header_field& field : awkward_fields) {
+        lines += field.name + ": " + field.value + "\r\n";
+    }
+    const raw_server server{"HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 0\r\n\r\n", true};
+    collecting_sink sink;
+    abort_signal signal;
+    EXPECT_EQ(make_service_driver(server.address())->run({"POST", "/x", awkward_fields, "ok"}, sink, signal).outcome,
+              run_outcome::completed);
+    EXPECT_EQ(sink.headers, awkward_fields);
+    EXPECT_NE(server.request().find(lines), std::string::npos) << server.request();
+    EXPECT_TRUE(server.request().ends_with("\r\n\r\nok")) << server.request();
+}
+
+// Guards against text of a message between processes that becomes a line of the endpoint's request.
+TEST(http_call_test, fields_that_would_be_two_lines_are_not_sent) {
+    const Poco::Net::ServerSocket listener{Poco::Net::SocketAddress{"127.0.0.1", 0}};
+    for (const endpoint_request& request :
+         std::vector<endpoint_request>{{"GET", "/x", {{"X-Note", "a\r\nX-Forged: 1"}}, ""},
+                                       {"GET", "/x", {{"X-Note", "a\nb"}}, ""},
+                                       {"GET", "/x", {{"X-A: 1\r\nX-B", "b"}}, ""},
+                                       {"GET", "/x HTTP/1.1\r\nX-B: 1\r\n", {}, ""},
+                                       {"GET /y", "/x", {}, ""}}) {
+        collecting_sink sink;
+        abort_signal signal;
+        EXPECT_EQ(make_service_driver({"127.0.0.1", listener.address().port()})->run(request, sink, signal).outcome,
+                  run_outcome::refused);
+        EXPECT_FALSE(sink.sent);
+    }
+}
+
+// Guards against lines that a library leaves out, or takes for fields, in a response.
+TEST(http_call_test, malformed_heads_are_broken) {
+    for (const std::string line : {"no field", "X-Note : a", ": a", " folded", "X-Note: a\nX-Forged: 1",
+                                   "X-Note: a\rX-Forged: 1", "X-Note: \x1b", "HTTP/1.1 200 OK"}) {
+        collecting_sink sink;
+        EXPECT_EQ(run_against("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 3\r\n\r\nabc", true, sink),
+                  run_outcome::broken)
+            << line;
+        EXPECT_EQ(sink.heads, 0) << line;
+    }
+}
+
 // Guards against a request that was never sent but is reported as possibly run.
 TEST(http_call_test, closed_port_is_refused) {
     net_address closed;
