Ranks' calls are read by src/http

No failure was seen: its calls have no fields that matter to it.

Change: step_server is an exchange_handler of http_listener. The body has a limit in bytes and in time, and one that is refused ends its connection.

Evidence: the tests of group_test, which play ranks with POCO's client against it, pass.

--- a/src/group/step_server.cpp
+++ b/src/group/step_server.cpp
@@ -2,54 +2,42 @@
 
 #include "common/listen_socket.h"
 #include "common/parse_json.h"
+#include "http/message_head.h"
+#include "http/socket_writer.h"
 
 #include <pomelohoist/config.h>
 
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/URI.h>
 
 #include <nlohmann/json.hpp>
 
-#include <array>
+#include <cstdint>
 #include <exception>
-#include <istream>
-#include <stdexcept>
+#include <utility>
 
 namespace pomelohoist {
 
 namespace {
 
 using nlohmann::json;
-using Poco::Net::HTTPResponse;
 
-constexpr int min_threads = 2;
-// A rank sends one request at a time; the other threads serve connections that the rank has abandoned.
-constexpr int max_threads = 8;
 constexpr int listen_backlog = 64;
-
-struct http_response {
-    HTTPResponse::HTTPStatus status{HTTPResponse::HTTP_OK};
+// A rank sends one request at a time; the other threads serve connections that the rank has abandoned.
+constexpr listener_threads threads{2, 8, std::chrono::seconds{60}, config::entry_thread_stack_bytes, listen_backlog};
+constexpr std::chrono::seconds read_timeout{60};
+constexpr std::chrono::seconds keep_alive{15};
+constexpr head_limits limits_of_heads{config::max_request_head_bytes, config::max_header_fields, read_timeout,
+                                      keep_alive, config::head_read_timeout};
+constexpr std::uint16_t status_ok = 200;
+constexpr std::uint16_t status_bad_request = 400;
+constexpr std::uint16_t status_not_found = 404;
+constexpr std::uint16_t status_conflict = 409;
+
+struct rank_reply {
+    std::uint16_t status{status_ok};
     json content;
 };
 
-/// @attention throws an exception when the body is too large
-std::string read_body(Poco::Net::HTTPServerRequest& request) {
-    std::string body;
-    std::array<char, 4096> buffer{};
-    std::istream& stream = request.stream();
-    while (stream.read(buffer.data(), buffer.size()), stream.gcount() > 0) {
-        body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
-        if (body.size() > config::max_rank_response_bytes) {
-            throw std::length_error("the body exceeds " + std::to_string(config::max_rank_response_bytes) + " bytes");
-        }
-    }
-    return body;
-}
-
 step_call parse_call(const json& content) {
     step_call call;
     call.request.step = content.at("step").get<std::uint64_t>();
@@ -65,20 +53,20 @@
     return call;
 }
 
-http_response handle_step_request(rank_service& service, const std::string& body) {
+rank_reply handle_step_request(rank_service& service, const std::string& body) {
     const step_response response = service.serve_step(parse_call(parse_json(body)));
     if (!response.granted) {
-        return {HTTPResponse::HTTP_CONFLICT, {{"wait", true}, {"needs_map", response.needs_map}}};
+        return {status_conflict, {{"wait", true}, {"needs_map", response.needs_map}}};
     }
     const std::optional<map_start>& granted = response.granted;
-    return {HTTPResponse::HTTP_OK,
+    return {status_ok,
             {{"map_version", granted->map.version},
              {"map_digest", std::to_string(granted->map.digest)},
              {"from_step", granted->from_step},
              {"needs_map", response.needs_map}}};
 }
 
-http_response handle_map_request(rank_service& service, const Poco::URI& target) {
+rank_reply handle_map_request(rank_service& service, const Poco::URI& target) {
     map_id id;
     for (const auto& [name, value] : target.getQueryParameters()) {
         if (name == "version") {
@@ -89,72 +77,78 @@
     }
     const std::vector<std::uint32_t> slots = service.find_map(id);
     if (slots.empty()) {
-        return {HTTPResponse::HTTP_NOT_FOUND, json::object()};
+        return {status_not_found, json::object()};
     }
-    return {HTTPResponse::HTTP_OK, {{"version", id.version}, {"slots", slots}}};
+    return {status_ok, {{"version", id.version}, {"slots", slots}}};
 }
 
-class step_handler : public Poco::Net::HTTPRequestHandler {
-  public:
-    explicit step_handler(rank_service& served) : service(served) {}
-
-    void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override {
-        http_response http_out{HTTPResponse::HTTP_NOT_FOUND, json::object()};
-        try {
-            const std::string body = read_body(request);
-            const Poco::URI target{request.getURI()};
-            if (request.getMethod() == "POST" && target.getPath() == "/step") {
-                http_out = handle_step_request(this->service, body);
-            } else if (request.getMethod() == "GET" && target.getPath() == "/map") {
-                http_out = handle_map_request(this->service, target);
-            } else if (request.getMethod() == "POST" && target.getPath() == "/map") {
-                const json content = parse_json(body);
-                const bool is_accepted = this->service.add_map(content.at("version").get<std::uint64_t>(),
-                                                               content.at("slots").get<std::vector<std::uint32_t>>());
-                http_out.status = is_accepted ? HTTPResponse::HTTP_OK : HTTPResponse::HTTP_BAD_REQUEST;
-            }
-        } catch (const std::exception& error) {
-            http_out = {HTTPResponse::HTTP_BAD_REQUEST, {{"error", error.what()}}};
-            response.setKeepAlive(false); // the rest of the body would be parsed as the next request
+rank_reply handle_request(rank_service& service, const request_head& head, const std::string& body) {
+    try {
+        const Poco::URI target{head.target};
+        if (head.method == "POST" && target.getPath() == "/step") {
+            return handle_step_request(service, body);
+        }
+        if (head.method == "GET" && target.getPath() == "/map") {
+            return handle_map_request(service, target);
+        }
+        if (head.method == "POST" && target.getPath() == "/map") {
+            const json content = parse_json(body);
+            const bool is_accepted = service.add_map(content.at("version").get<std::uint64_t>(),
+                                                     content.at("slots").get<std::vector<std::uint32_t>>());
+            return {is_accepted ? status_ok : status_bad_request, json::object()};
         }
-        const std::string text = http_out.content.dump();
-        response.setStatusAndReason(http_out.status);
-        response.setContentType("application/json");
-        response.sendBuffer(text.data(), text.size());
+        return {status_not_found, json::object()};
+    } catch (const std::exception& error) {
+        return {status_bad_request, {{"error", error.what()}}};
     }
+}
 
-  private:
-    rank_service& service;
-};
-
-class step_factory : public Poco::Net::HTTPRequestHandlerFactory {
+class step_handler : public exchange_handler {
   public:
-    explicit step_factory(rank_service& served) : service(served) {}
-    Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest& /*request*/) override {
-        return new step_handler{this->service};
+    step_handler(rank_service& served, const clock& time_source) : service(served), time(time_source) {}
+
+    [[nodiscard]] head_limits limits() const override { return limits_of_heads; }
+
+    void handle(request_head head, server_connection& connection) override {
+        std::string body;
+        const result<done> read =
+            connection.read_body(config::max_rank_response_bytes, this->time.now() + read_timeout, body);
+        if (!read) {
+            this->refuse(read.last_error(), connection);
+            return;
+        }
+        this->respond(handle_request(this->service, head, body), connection);
+    }
+
+    void refuse(const failure& reason, server_connection& connection) override {
+        this->respond({status_bad_request, {{"error", reason.reason}}}, connection);
     }
 
   private:
+    void respond(const rank_reply& reply, server_connection& connection) {
+        const std::string text = reply.content.dump();
+        result<std::string> bytes =
+            encode_response_head(reply.status, {{"Content-Type", "application/json"},
+                                                {"Content-Length", std::to_string(text.size())},
+                                                {"Connection", connection.stays_open() ? "Keep-Alive" : "Close"}});
+        socket_writer writer{connection.socket(), this->time};
+        const steady_time end = this->time.now() + read_timeout;
+        if (!bytes || !writer.write(*bytes + text, {end, std::chrono::milliseconds{0}, std::chrono::milliseconds{0}})) {
+            connection.close_after_response();
+        }
+    }
+
     rank_service& service;
+    const clock& time;
 };
 
 } // namespace
 
 step_server::step_server(const net_address& local, rank_service& served)
     : socket(bind_listener(local, listen_backlog)), bound{local.ip, this->socket.address().port()},
-      pool(min_threads, max_threads) {
-    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-    params->setMaxThreads(max_threads);
-    params->setMaxQueued(listen_backlog);
-    params->setKeepAlive(true);
-    params->setMaxKeepAliveRequests(0);
-    this->server = std::make_unique<Poco::Net::HTTPServer>(new step_factory{served}, this->pool, this->socket, params);
-    this->server->start();
-}
-
-step_server::~step_server() {
-    this->server->stopAll(true);
-    this->pool.joinAll();
+      handler(std::make_unique<step_handler>(served, this->time)),
+      listener(this->socket, threads, *this->handler, this->time) {
+    this->listener.start();
 }
 
 } // namespace pomelohoist
--- a/src/group/step_server.h
+++ b/src/group/step_server.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "group/switch_participant.h"
+#include "http/http_listener.h"
 
+#include <pomelohoist/clock.h>
 #include <pomelohoist/types.h>
 
-#include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/ServerSocket.h>
-#include <Poco/ThreadPool.h>
 
 #include <memory>
 #include <optional>
@@ -53,7 +53,7 @@
   public:
     /// @attention throws Poco::Net::NetException when the address cannot be bound
     step_server(const net_address& local, rank_service& served);
-    ~step_server();
+    ~step_server() = default;
     step_server(const step_server&) = delete;
     step_server& operator=(const step_server&) = delete;
 
@@ -62,8 +62,9 @@
   private:
     Poco::Net::ServerSocket socket;
     net_address bound;
-    Poco::ThreadPool pool;
-    std::unique_ptr<Poco::Net::HTTPServer> server;
+    system_clock time;
+    std::unique_ptr<exchange_handler> handler;
+    http_listener listener;
 };
 
 } // namespace pomelohoist
