Streams go on when the weights of their endpoint change

On routes that may be resumed, the run was broken off and another one started.

Cause: the event at which the version changes names it in its first line, with a field that text/event-stream doesn't have. stream_event_parser took any line but those of its four fields for foreign bytes.

Change: the parser is told which other fields events may have. Direct forwarding allows one, named by the adapter: in the first line of an event, once, an integer. An entry with agents forwards unknown fields with an event that has data, as recipients ignore them.

--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -4,6 +4,7 @@
 
 #include <pomelohoist/config.h>
 
+#include <Poco/String.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -50,7 +51,9 @@
                                    response_sink& caller_response, caller_connection_monitor& caller_connection)
     : parts(process_parts), request(resolved),
       more_important(process_parts.levels.record(resolved.service, resolved.matched_route->importance)),
-      sink(caller_response), caller(caller_connection), events(resolved.raw.header("Last-Event-Id").value_or("")) {}
+      sink(caller_response), caller(caller_connection),
+      events(resolved.raw.header("Last-Event-Id").value_or(""),
+             event_extensions{Poco::toLower(process_parts.names.weights_version), false}) {}
 
 forwarding_outcome direct_forwarder::run() {
     this->parts.budget.record_request(this->request.service);
--- a/src/direct/event_tracker.h
+++ b/src/direct/event_tracker.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 
 /// Checks the events of a stream and their order.
 namespace pomelohoist {
@@ -13,7 +14,9 @@
 class event_tracker {
   public:
     /// @param resume_after id after which the caller resumes the stream, or empty
-    explicit event_tracker(std::string resume_after) : last(std::move(resume_after)) {}
+    /// @param extensions fields that events may have beyond those of text/event-stream
+    explicit event_tracker(std::string resume_after, event_extensions extensions = {})
+        : parser(std::move(extensions)), last(std::move(resume_after)) {}
 
     /// Appends bytes and removes the complete events from them.
     /// @returns the events to forward, possibly none
--- a/src/direct/header_names.h
+++ b/src/direct/header_names.h
@@ -13,7 +13,10 @@
     std::string expected_instance; ///< an endpoint with another instance name refuses the request
     std::string importance;        ///< 0 is served first in the endpoint's queue
     std::string signature; ///< the endpoint's signature of its response; a success without it counts as a failure
-    std::string not_run;   ///< set by an endpoint that did not run the request
+    /// Version of the weights that a response is computed with, an integer. In a stream, the event at which it changes
+    /// has the name in lower case as the field of its first line.
+    std::string weights_version;
+    std::string not_run; ///< set by an endpoint that did not run the request
     /// Requests per second, a decimal number, that the endpoint accepts from all entries together; set by endpoints.
     std::string rate_limit;
     std::string cold_left_ms; ///< for which the endpoint remains cold; set by endpoints
--- a/src/entry/response_stream.cpp
+++ b/src/entry/response_stream.cpp
@@ -78,6 +78,10 @@
 
 result<done> response_stream::handle_event(const stream_event& event) {
     if (!event.data) {
+        // A recipient ignores unknown fields, but an event with nothing else is more likely another protocol's text.
+        if (event.has_extension) {
+            return failure{error_kind::endpoint_failed, "an event of the stream has unknown fields and no data"};
+        }
         // Comments keep a connection alive; they and blank lines are not forwarded.
         this->bytes_without_data += event.bytes.size();
         if (this->bytes_without_data > config::max_event_bytes) {
--- a/src/entry/response_stream.h
+++ b/src/entry/response_stream.h
@@ -42,7 +42,7 @@
     response_sink& sink;
     inner::run_head received_head;
     std::string pending; ///< received and held back until the end
-    stream_event_parser events;
+    stream_event_parser events{event_extensions{"", true}};
     std::size_t bytes_without_data{0}; ///< of the events since the last one with data
     bool streaming{false};
     bool begun{false};
--- a/src/entry/stream_event.cpp
+++ b/src/entry/stream_event.cpp
@@ -1,5 +1,7 @@
 #include "entry/stream_event.h"
 
+#include "http/field_syntax.h"
+
 #include <pomelohoist/config.h>
 
 #include <Poco/UTF8Encoding.h>
@@ -7,6 +9,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <cstdint>
 #include <utility>
 
 namespace pomelohoist {
@@ -19,13 +23,11 @@
 constexpr unsigned char first_printable = 0x20;
 constexpr unsigned char delete_character = 0x7f;
 
-/// @returns true when the line is a field or a comment, or may become one with more bytes
-bool may_become_field(std::string_view line) {
-    const std::size_t colon = line.find(':');
-    const std::string_view name = line.substr(0, colon);
-    return std::any_of(field_names.begin(), field_names.end(), [&](std::string_view known) {
-        return colon == std::string_view::npos ? known.starts_with(name) : name.empty() || known == name;
-    });
+bool is_integer(std::string_view text) {
+    std::int64_t number = 0;
+    const char* end = text.data() + text.size();
+    const auto [stopped, error] = std::from_chars(text.data(), end, number);
+    return !text.empty() && error == std::errc{} && stopped == end;
 }
 
 bool has_text(const json& choice) {
@@ -53,7 +55,7 @@
     if (line.ends_with('\r')) {
         line.remove_suffix(1);
     }
-    this->malformed = this->malformed || !may_become_field(line);
+    this->malformed = this->malformed || !this->may_become_field(line);
     return std::nullopt;
 }
 
@@ -88,11 +90,29 @@
     if (line.empty()) {
         return true;
     }
-    this->read_field(line);
+    this->read_field(line, begin == 0);
     return false;
 }
 
-void stream_event_parser::read_field(std::string_view line) {
+bool stream_event_parser::may_become_field(std::string_view line) const {
+    const std::size_t colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    const auto matches = [&](std::string_view known) {
+        return colon == std::string_view::npos ? known.starts_with(name) : name.empty() || known == name;
+    };
+    return std::any_of(field_names.begin(), field_names.end(), matches) ||
+           (this->extensions.is_any_allowed && is_token(name)) ||
+           (this->line_begin == 0 && matches(this->extensions.number_in_first_line));
+}
+
+bool stream_event_parser::is_extension(std::string_view name, std::string_view value, bool is_first_line) const {
+    if (is_first_line && !name.empty() && name == this->extensions.number_in_first_line) {
+        return is_integer(value);
+    }
+    return this->extensions.is_any_allowed && is_token(name);
+}
+
+void stream_event_parser::read_field(std::string_view line, bool is_first_line) {
     const std::size_t colon = line.find(':');
     const std::string_view name = line.substr(0, colon);
     std::string_view value = colon == std::string_view::npos ? std::string_view{} : line.substr(colon + 1);
@@ -112,8 +132,9 @@
         this->current.id = value;
     } else if (name == "retry") {
         this->malformed = value.empty() || value.find_first_not_of("0123456789") != std::string_view::npos;
-    } else {
-        this->malformed = name != "event";
+    } else if (name != "event") {
+        this->current.has_extension = true;
+        this->malformed = colon == std::string_view::npos || !this->is_extension(name, value, is_first_line);
     }
 }
 
@@ -127,7 +148,7 @@
 }
 
 void stream_event_parser::reset() {
-    *this = stream_event_parser{};
+    *this = stream_event_parser{std::move(this->extensions)};
 }
 
 stream_event_kind kind_of_event(const std::string& data) {
--- a/src/entry/stream_event.h
+++ b/src/entry/stream_event.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 /// Server-sent events of model streams.
 namespace pomelohoist {
@@ -15,14 +16,26 @@
     std::optional<std::string> id;   ///< value of the `id` field
     std::optional<std::string> data; ///< values of the `data` fields, joined by line feeds; a blank line has none
     bool has_comment{false};
+    bool has_extension{false}; ///< a field that text/event-stream does not name
 
     friend bool operator==(const stream_event&, const stream_event&) = default;
 };
 
+/// Fields that events may have beyond `data`, `event`, `id` and `retry`.
+struct event_extensions {
+    /// Name, in lower case, of a field with an integer that may stand in the first line of an event; "" for none.
+    std::string number_in_first_line{};
+    bool is_any_allowed{false}; ///< any name that is a token; recipients ignore fields that they do not know
+
+    friend bool operator==(const event_extensions&, const event_extensions&) = default;
+};
+
 /// Splits the bytes of a stream into events. Checks all bytes as they arrive: UTF-8 text, lines of known fields or
 /// comments, and at most `config::max_event_bytes` an event.
 class stream_event_parser {
   public:
+    explicit stream_event_parser(event_extensions allowed) : extensions(std::move(allowed)) {}
+
     void append(const std::string& bytes) { this->buffer += bytes; }
     /// @returns the next complete event, or nothing when more bytes are needed or the next bytes are no event
     std::optional<stream_event> next();
@@ -40,9 +53,15 @@
     /// Reads the line that ends before `position`.
     /// @returns true when the line ends the event
     bool end_line();
-    void read_field(std::string_view line);
+    /// @returns true when the line is a field or a comment, or may become one with more bytes
+    [[nodiscard]] bool may_become_field(std::string_view line) const;
+    /// @param is_first_line of its event
+    void read_field(std::string_view line, bool is_first_line);
+    /// @returns true when the field is an extension that may stand there
+    [[nodiscard]] bool is_extension(std::string_view name, std::string_view value, bool is_first_line) const;
     stream_event extract_event();
 
+    event_extensions extensions;
     std::string buffer;
     std::size_t line_begin{0};
     std::size_t position{0}; ///< of the first character that is not checked
--- a/tests/entry/response_stream_test.cpp
+++ b/tests/entry/response_stream_test.cpp
@@ -111,6 +111,25 @@
     EXPECT_EQ(sink.text, complete_stream());
 }
 
+// Guards against streams that are broken off for a field that text/event-stream does not name, such as a new version of
+// the weights: recipients ignore unknown fields.
+TEST(response_stream_test, unknown_fields_are_forwarded_with_their_event) {
+    const std::string event = "x-weights-version: 8\ndata: {\"choices\":[{\"delta\":{\"content\":\"t\"}}]}\n"
+                              "vendor.note: a: b\n\n";
+    for (std::size_t size = 1; size <= event.size(); ++size) {
+        entry_request request;
+        request.stream = true;
+        recording_sink sink;
+        response_stream response{request, sink};
+        ASSERT_TRUE(response.on_head(stream_head));
+        for (std::size_t position = 0; position < event.size(); position += size) {
+            ASSERT_TRUE(response.on_data(event.substr(position, size))) << size;
+        }
+        EXPECT_EQ(response.tokens_sent(), 1U);
+        EXPECT_EQ(sink.text, event) << size;
+    }
+}
+
 // Guards against a stream that ends within an event and looks complete.
 TEST(response_stream_test, an_incomplete_event_is_no_end) {
     entry_request request;
