--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -129,9 +129,9 @@
             return failure{error_kind::bad_request, "the connection ended within the body"};
         }
     }
-    const result<done> read = this->framing.form == body_framing::kind::chunked
-                                  ? this->read_chunked_body(max_bytes, deadline, body)
-                                  : this->read_sized_body(deadline, body);
+    result<done> read = this->framing.form == body_framing::kind::chunked
+                            ? this->read_chunked_body(max_bytes, deadline, body)
+                            : this->read_sized_body(deadline, body);
     this->is_body_read = read.has_value();
     return read;
 }
--- a/tests/direct/weights_version_test.cpp
+++ b/tests/direct/weights_version_test.cpp
@@ -117,10 +117,11 @@
 // Guards against foreign bytes that pass as an event because one more field is known.
 TEST(weights_version_test, the_version_is_an_integer_in_the_first_line) {
     const std::string name = version_field;
+    const std::string line = name + " 8\n";
     for (const std::string& malformed : {
              "id: 3\n" + name + " 8\ndata: piece 3\n\n",
              "id: 3\ndata: piece 3\n" + name + " 8\n\n",
-             event(3, name + " 8\n" + name + " 8\n"),
+             event(3, line + line),
              event(3, name + " 8 \n"),
              event(3, name + "\n"),
              event(3, name + " x\n"),
--- a/tests/entry/http_server_test.cpp
+++ b/tests/entry/http_server_test.cpp
@@ -152,9 +152,11 @@
     const std::string model_body = model(true).body;
     for (const auto& [target, body] : std::vector<std::pair<std::string, std::string>>{
              {"/services/desk/book", "order"}, {"/v1/chat/completions", model_body}}) {
-        const std::string response = test_support::exchange_raw(
-            this->http, "POST " + target + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret-key\r\n" + lines +
-                            "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        std::string request = "POST " + target + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret-key\r\n";
+        request += lines;
+        request += "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        request += body;
+        const std::string response = test_support::exchange_raw(this->http, request);
         EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << response;
         std::vector<inner::header_field> seen = this->agents[0]->last_run().headers;
         std::erase_if(seen, [](const inner::header_field& field) { return field.name != "X-Note"; });
@@ -175,10 +177,10 @@
     const std::string smuggled = "POST /services/desk/forged HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
                                  "secret-key\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
     for (const std::string coding : {"gzip", "gzip, chunked", "identity", "xchunked"}) {
-        const std::string response =
-            test_support::exchange_raw(this->http, "POST /services/desk/book HTTP/1.1\r\nHost: x\r\nAuthorization: "
-                                                   "Bearer secret-key\r\nTransfer-Encoding: " +
-                                                       coding + "\r\n\r\n" + smuggled);
+        std::string request = "POST /services/desk/book HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret-key\r\n";
+        request += "Transfer-Encoding: " + coding + "\r\n\r\n";
+        request += smuggled;
+        const std::string response = test_support::exchange_raw(this->http, request);
         EXPECT_TRUE(response.starts_with("HTTP/1.1 400")) << coding << "\n" << response;
         EXPECT_EQ(response.find("HTTP/1.1", 1), std::string::npos) << coding << "\n" << response;
     }
