--- a/tests/direct/late_copy_test.cpp
+++ b/tests/direct/late_copy_test.cpp
@@ -9,6 +9,8 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 using namespace pomelohoist;
 using namespace pomelohoist::test_support;
@@ -74,6 +76,53 @@
     }
 }
 
+namespace {
+
+/// Plays a response that comes behind the first `length` bytes of a copy of the one before it, which had another
+/// status.
+void expect_own_status(const std::string& copy, std::size_t length, int stale, int own) {
+    scripted_endpoint endpoint{[&](const std::string& request, std::size_t number) {
+        return number == 0 ? scripted_response{full_response_to(request, stale, "first")}
+                           : scripted_response{copy.substr(0, number == 1 ? length : 0) +
+                                               full_response_to(request, own, "second")};
+    }};
+    direct_entry entry{{endpoint.address()}};
+    ASSERT_EQ(call_as(entry, "first").status, stale);
+    const http_response second = call_as(entry, "second");
+    // 502: the head is refused, and no other endpoint is left.
+    EXPECT_TRUE(second.status == own || second.status == 502) << second.status << ", cut after " << length;
+    EXPECT_TRUE(second.status == 502 || second.body == "second") << second.body << ", cut after " << length;
+}
+
+std::string begin_of_copy(int status) {
+    return "HTTP/1.1 " + std::to_string(status) + " Stale\r\nContent-Type: text/plain\r\n";
+}
+
+} // namespace
+
+// Guards against a response that gets the status of the one before it on a kept connection: a copy of that one, cut off
+// at the end of a line, comes before the response (review/9).
+TEST(late_copy_test, no_line_of_a_copy_gives_the_next_response_its_status) {
+    for (const auto& [stale, own] : std::vector<std::pair<int, int>>{{404, 200}, {200, 404}}) {
+        const std::string copy = begin_of_copy(stale);
+        for (std::size_t end = copy.find("\r\n"); end != std::string::npos; end = copy.find("\r\n", end + 1)) {
+            expect_own_status(copy, end + 2, stale, own);
+        }
+    }
+}
+
+// The same with a copy that is cut off within a line, so that the next status line is the rest of that line.
+TEST(late_copy_test, no_part_of_a_line_gives_the_next_response_its_status) {
+    for (const auto& [stale, own] : std::vector<std::pair<int, int>>{{404, 200}, {200, 404}}) {
+        const std::string copy = begin_of_copy(stale);
+        for (std::size_t length = 1; length < copy.size(); ++length) {
+            if (copy[length - 1] != '\n') {
+                expect_own_status(copy, length, stale, own);
+            }
+        }
+    }
+}
+
 // The same with a copy that comes while the connection is idle.
 TEST(late_copy_test, a_connection_with_a_copy_is_not_used_again) {
     scripted_endpoint endpoint{[](const std::string& request, std::size_t number) {
