A deadline is any decimal number, and a request has one Host

A request with two Host fields was routed by the first, while its endpoint may go by the second.

Cause: the deadline was parsed by POCO's parser of 32-bit numbers, and its failure taken for a malformed field; repeated Host fields were not looked at (RFC 9112, 3.2: 400).

Evidence: any_decimal_number_is_a_deadline failed before and passes; the case with two Host fields in malformed_heads_of_requests_are_refused is new and passes.

--- a/src/direct/direct_request.cpp
+++ b/src/direct/direct_request.cpp
@@ -4,7 +4,6 @@
 #include "http/field_syntax.h"
 #include "http/message_head.h"
 
-#include <Poco/NumberParser.h>
 #include <Poco/String.h>
 
 #include <algorithm>
@@ -105,11 +104,12 @@
     request.service = pick_target(*matched_route, ticket);
     std::chrono::milliseconds wait{matched_route->timeout_ms};
     if (const auto deadline_text = raw.header(this->names.deadline_ms)) {
-        unsigned limit = 0;
-        if (!Poco::NumberParser::tryParseUnsigned(*deadline_text, limit)) {
+        if (!is_decimal(*deadline_text)) {
             return failure{error_kind::bad_request, "malformed deadline"};
         }
-        wait = std::min(wait, std::chrono::milliseconds{limit});
+        // A number beyond 64 bits is longer than any route's timeout.
+        const std::uint64_t limit = parse_decimal(*deadline_text).value_or(matched_route->timeout_ms);
+        wait = std::chrono::milliseconds{std::min<std::uint64_t>(matched_route->timeout_ms, limit)};
     }
     request.deadline = arrived + wait;
     return request;
--- a/src/http/field_syntax.cpp
+++ b/src/http/field_syntax.cpp
@@ -61,6 +61,10 @@
                       [](char left, char right) { return to_lower(left) == to_lower(right); });
 }
 
+bool is_decimal(std::string_view text) {
+    return !text.empty() && std::all_of(text.begin(), text.end(), is_digit);
+}
+
 std::optional<std::uint64_t> parse_decimal(std::string_view text) {
     std::uint64_t number = 0;
     const char* end = text.data() + text.size();
--- a/src/http/field_syntax.h
+++ b/src/http/field_syntax.h
@@ -23,6 +23,9 @@
 /// @returns true when both are equal, ignoring the case of ASCII letters
 [[nodiscard]] bool equals_ignoring_case(std::string_view first, std::string_view second);
 
+/// @returns true for one decimal digit or more, and nothing else
+[[nodiscard]] bool is_decimal(std::string_view text);
+
 /// @returns the number in a text of decimal digits only, or nothing when it is another text or beyond 64 bits
 [[nodiscard]] std::optional<std::uint64_t> parse_decimal(std::string_view text);
 
--- a/src/http/message_head.cpp
+++ b/src/http/message_head.cpp
@@ -94,6 +94,11 @@
         return fields.last_error();
     }
     head.headers = std::move(*fields);
+    // Each reader could take another of them for the one that counts.
+    const auto is_host = [](const inner::header_field& field) { return equals_ignoring_case(field.name, "host"); };
+    if (std::count_if(head.headers.begin(), head.headers.end(), is_host) > 1) {
+        return failure{error_kind::bad_request, "more than one Host field"};
+    }
     return head;
 }
 
--- a/tests/direct/field_forwarding_test.cpp
+++ b/tests/direct/field_forwarding_test.cpp
@@ -226,6 +226,7 @@
         "Transfer-Encoding: gzip\r\n"s,
         "Content-Length: 6\r\n"s,
         "HTTP/1.1 200 OK\r\n"s,
+        "Host: other.example\r\n"s,
     };
     for (const std::string& lines : malformed) {
         for (const std::string& path : routes) {
@@ -298,6 +299,27 @@
     EXPECT_TRUE(endpoint.requests()[2].starts_with("GET /safe/3 ")) << endpoint.requests()[2];
 }
 
+// Guards against a deadline that is refused since it is longer than a number of 32 or 64 bits can say.
+TEST(field_forwarding_test, any_decimal_number_is_a_deadline) {
+    scripted_endpoint endpoint{[](const std::string& request, std::size_t) { return answer(request); }};
+    direct_entry entry{{endpoint.address()}};
+    const auto call_with = [&entry](const std::string& deadline) {
+        return exchange_raw(entry.address, "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key-1\r\nConnection: "
+                                           "close\r\nX-Pomelohoist-Attempt-Id: a-1\r\nX-Pomelohoist-Deadline-Ms: " +
+                                               deadline + "\r\n\r\n");
+    };
+    for (const std::string deadline :
+         {"1500", "0001500", "4294967296", "18446744073709551615", "99999999999999999999"}) {
+        EXPECT_TRUE(call_with(deadline).starts_with("HTTP/1.1 200")) << deadline;
+        const std::string passed_on = field_of(endpoint.requests().back(), "X-Pomelohoist-Deadline-Ms");
+        EXPECT_GT(std::stoi(passed_on), 0) << deadline;
+        EXPECT_LE(std::stoi(passed_on), 2000) << deadline;
+    }
+    for (const std::string deadline : {"", "+1500", "-1", "1.5", "1500 ms", "=?UTF-8?Q?1500?="}) {
+        EXPECT_TRUE(call_with(deadline).starts_with("HTTP/1.1 400")) << deadline;
+    }
+}
+
 // Guards against connection fields that are forwarded since they stand in a second Connection field, or in a response.
 TEST(field_forwarding_test, fields_of_one_connection_are_not_forwarded) {
     scripted_endpoint endpoint{[](const std::string& request, std::size_t) {
