server_connection: a clearer name for a request that was read whole

is_body_read was also false while a head is read, so that a refused head ends its connection gracefully; is_request_read says so. No change of behaviour.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -58,7 +58,7 @@
 
 result<std::optional<request_head>> server_connection::read_head(const head_limits& limits) {
     const bool is_first = !std::exchange(this->has_request, true);
-    this->is_body_read = false; // what has arrived of a head that is refused is no body either
+    this->is_request_read = false;
     head_scanner scanner;
     steady_time until = this->time.now() + (is_first ? limits.first_wait : limits.idle);
     bool has_begun = false;
@@ -84,7 +84,7 @@
         }
         if (!this->receive(until)) {
             if (!has_begun || this->has_ended || !this->is_open()) {
-                this->is_body_read = true;
+                this->is_request_read = true; // there is none
                 return std::optional<request_head>{};
             }
             return failure{error_kind::request_timeout, "the head did not arrive in time"};
@@ -106,8 +106,8 @@
         return stated.last_error();
     }
     this->framing = *stated;
-    this->is_body_read = this->framing.form == body_framing::kind::none ||
-                         (this->framing.form == body_framing::kind::length && this->framing.bytes == 0);
+    this->is_request_read = this->framing.form == body_framing::kind::none ||
+                            (this->framing.form == body_framing::kind::length && this->framing.bytes == 0);
     this->uses_http_1_0 = head->is_http_1_0;
     this->expects_continue = !this->uses_http_1_0 && expects_interim_response(*head);
     this->is_closing = this->is_closing || has_connection_option(head->headers, "close") ||
@@ -116,7 +116,7 @@
 }
 
 result<done> server_connection::read_body(std::uint64_t max_bytes, steady_time deadline, std::string& body) {
-    if (this->is_body_read) {
+    if (this->is_request_read) {
         return done{};
     }
     if (this->framing.bytes > max_bytes) {
@@ -132,7 +132,7 @@
     result<done> read = this->framing.form == body_framing::kind::chunked
                             ? this->read_chunked_body(max_bytes, deadline, body)
                             : this->read_sized_body(deadline, body);
-    this->is_body_read = read.has_value();
+    this->is_request_read = read.has_value();
     return read;
 }
 
@@ -177,11 +177,11 @@
 }
 
 bool server_connection::stays_open() const {
-    return this->is_open() && !this->is_closing && this->is_body_read;
+    return this->is_open() && !this->is_closing && this->is_request_read;
 }
 
 void server_connection::end_gracefully() {
-    if (this->is_body_read) {
+    if (this->is_request_read) {
         return;
     }
     try {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -69,9 +69,9 @@
 
     Poco::Net::StreamSocket peer;
     const clock& time;
-    std::string received;    ///< bytes that are not consumed yet
-    body_framing framing;    ///< of the current request
-    bool is_body_read{true}; ///< the current request was read whole
+    std::string received;       ///< bytes that are not consumed yet
+    body_framing framing;       ///< of the current request
+    bool is_request_read{true}; ///< the current request was read whole
     bool expects_continue{false};
     bool uses_http_1_0{false};
     bool has_ended{false}; ///< the client has closed its side of the connection
