--- a/review/support-3/engines.py
+++ b/review/support-3/engines.py
@@ -12,7 +12,6 @@
 EXPERTS = 24
 SPARE = 2
 STEP_S = 0.05
-FORM_S = 0.6
 HOT_TOKENS, COLD_TOKENS = 400, 20
 
 
@@ -121,7 +120,6 @@
         self.step = 0
         self.state = "broken"
         self.members = [None] * ranks
-        self.has_broken = False
 
 
 class Platform:
@@ -134,7 +132,6 @@
         # With map 0, these experts are all on rank 0.
         self.hot = [expert for expert in range(EXPERTS) if expert % ranks == 0]
         self.groups = {name: Group(name, ranks) for name in GROUPS}
-        self.passes_apart = 0
 
     def place(self, engine, group, rank):
         with self.lock:
@@ -175,13 +172,6 @@
             for i in range(SETS):
                 for expert in range(EXPERTS):
                     member.counts[i * EXPERTS + expert] += HOT_TOKENS if expert in self.hot else COLD_TOKENS
-        if any((member.version, member.map) != (group.members[0].version, group.members[0].map)
-               for member in group.members):
-            self.passes_apart += 1
-            if not group.has_broken:
-                group.has_broken = True
-                versions = ", ".join(f"{member.rank}: {member.version}" for member in group.members)
-                self.case.record.say(f"MAP: {group.name} begins step {step} with different maps ({versions})")
 
 
 class EngineHandler(QuietHandler):
@@ -275,13 +265,3 @@
         platform.open(name)
         threading.Thread(target=platform.run_passes, args=(name,), daemon=True).start()
     return engines, processes
-
-
-def wait_switched(platform, names, limit_s):
-    until = time.monotonic() + limit_s
-    while time.monotonic() < until:
-        with platform.lock:
-            if all(all(member.version > 0 for member in platform.groups[name].members) for name in names):
-                return True
-        time.sleep(0.1)
-    return False
