--- a/include/pomelohoist/config.h
+++ b/include/pomelohoist/config.h
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;
 
 // Inner protocol.
-inline constexpr std::uint8_t protocol_version = 1;
+inline constexpr std::uint8_t protocol_version = 2;
 inline constexpr std::size_t max_datagram_bytes = 1400;
 inline constexpr std::size_t max_frame_bytes = 16U << 20U; // 16 MB
 // Transmissions of one datagram call, the first one included; they divide the timeout of the call evenly.
--- a/src/direct/routing_state.cpp
+++ b/src/direct/routing_state.cpp
@@ -31,7 +31,8 @@
 
 bool routing_state::apply_routing(routing_content content_read) {
     const std::uint64_t version = content_read.version;
-    const std::size_t routes = content_read.routes.size();
+    const std::string routes = std::to_string(content_read.routes.size());
+    const std::string workspaces = content_read.workspaces ? std::to_string(content_read.workspaces->size()) : "none";
     auto next = std::make_shared<const routing_table>(std::move(content_read));
     {
         const std::lock_guard lock{this->mutex};
@@ -40,7 +41,8 @@
         }
         this->content.routing = std::move(next);
     }
-    this->log.info("routing_applied", {{"version", std::to_string(version)}, {"routes", std::to_string(routes)}});
+    this->log.info("routing_applied",
+                   {{"version", std::to_string(version)}, {"routes", routes}, {"workspaces", workspaces}});
     return true;
 }
 
--- a/src/direct/routing_table.cpp
+++ b/src/direct/routing_table.cpp
@@ -16,8 +16,9 @@
                   const route& b = this->content.routes[right];
                   return std::tie(a.host, a.prefix) < std::tie(b.host, b.prefix);
               });
-    for (std::uint32_t i = 0; i < this->content.workspaces.size(); ++i) {
-        for (const std::string& key : this->content.workspaces[i].keys) {
+    const std::size_t workspaces = this->content.workspaces ? this->content.workspaces->size() : 0;
+    for (std::uint32_t i = 0; i < workspaces; ++i) {
+        for (const std::string& key : (*this->content.workspaces)[i].keys) {
             this->owners.push_back({key, i});
         }
     }
@@ -49,7 +50,7 @@
     const auto found = std::lower_bound(
         this->owners.begin(), this->owners.end(), key,
         [](const key_owner& owner, std::string_view searched_key) { return owner.key < searched_key; });
-    return found != this->owners.end() && found->key == key ? &this->content.workspaces[found->workspace] : nullptr;
+    return found != this->owners.end() && found->key == key ? &(*this->content.workspaces)[found->workspace] : nullptr;
 }
 
 const service* routing_table::find_service(std::string_view name) const {
--- a/src/direct/routing_table.h
+++ b/src/direct/routing_table.h
@@ -111,7 +111,8 @@
     std::uint64_t version{0};
     std::vector<route> routes;
     std::vector<service> services;
-    std::vector<workspace_keys> workspaces;
+    /// Without a list, requests need no key; with an empty one, no key is valid.
+    std::optional<std::vector<workspace_keys>> workspaces;
     caller_limits limits;
 
     template <class Archive> void serialize(Archive& archive) {
@@ -133,8 +134,8 @@
     /// @returns the workspace that holds the key, or null
     [[nodiscard]] const workspace_keys* find_workspace(std::string_view key) const;
     [[nodiscard]] const service* find_service(std::string_view name) const;
-    /// @returns true when requests need a key unless their route is public
-    [[nodiscard]] bool has_workspaces() const { return !this->content.workspaces.empty(); }
+    /// @returns true when requests need a key unless their route is public; the list of workspaces may be empty
+    [[nodiscard]] bool has_workspaces() const { return this->content.workspaces.has_value(); }
 
   private:
     struct key_owner {
--- a/tests/adapter/platform_programs_test.cpp
+++ b/tests/adapter/platform_programs_test.cpp
@@ -98,6 +98,31 @@
     EXPECT_EQ(second.call("/p/x", "n").status, 200);
 }
 
+// Guards against requests that run without a valid key once the last workspace has been removed, at the entry that
+// reads the declaration and at one that receives it.
+TEST_F(platform_programs_test, no_request_runs_after_the_last_workspace_is_removed) {
+    this->declare(declaration);
+    this->register_endpoint("i-1", this->endpoint.address());
+    running_entry first{"e1", this->platform.address()};
+    running_entry second{"e2", this->platform.address()};
+    for (running_entry* entry : {&first, &second}) {
+        ASSERT_TRUE(wait_until([entry] { return entry->is_ready() && entry->call().status == 200; }, 5s));
+    }
+    std::string without_workspaces{declaration};
+    without_workspaces.replace(without_workspaces.find("\"version\":3"), 11, "\"version\":7");
+    const std::size_t list = without_workspaces.find("[{\"name\":\"t\"");
+    without_workspaces.replace(list, without_workspaces.find("}]", list) + 2 - list, "[]");
+    this->declare(without_workspaces);
+    std::this_thread::sleep_for(2s); // a change must be in force at all entries within this time
+    const std::size_t sent = this->endpoint.requests().size();
+    for (const running_entry* entry : {&first, &second}) {
+        for (const char* key : {"k", "unknown", ""}) {
+            EXPECT_EQ(entry->call("/p/x", key).status, 401) << key;
+        }
+    }
+    EXPECT_EQ(this->endpoint.requests().size(), sent);
+}
+
 // Guards against an entry that misses changes, or uses an endpoint that has left, after a restore of the store.
 TEST_F(platform_programs_test, an_entry_follows_a_restored_store) {
     scripted_endpoint second{[](const std::string& request, std::size_t) {
--- a/tests/adapter/row_control_store_test.cpp
+++ b/tests/adapter/row_control_store_test.cpp
@@ -92,10 +92,49 @@
     EXPECT_EQ(next->content->routes.front().retry, retry_policy::stream);
     EXPECT_EQ(next->content->routes.front().targets.size(), 2U);
     EXPECT_EQ(next->content->services.front().experts->max_new, 4U);
-    EXPECT_EQ(next->content->workspaces.front().importance, 0U);
+    EXPECT_EQ(next->content->workspaces->front().importance, 0U);
     EXPECT_EQ(next->content->limits.body_bytes, 100U);
 }
 
+// Guards against an empty list of workspaces that is read as none: all requests would run without a key.
+TEST_F(row_control_store_test, a_list_of_workspaces_may_be_empty_or_absent) {
+    this->platform.put("op", "config", R"({"version":3,"routes":[],"services":[],"tenants":[]})");
+    const auto empty = this->store.read_routing();
+    ASSERT_TRUE(empty && empty->content);
+    EXPECT_TRUE(routing_table{*empty->content}.has_workspaces());
+    this->platform.put("op", "config", R"({"version":4,"routes":[],"services":[]})");
+    const auto absent = this->store.read_routing();
+    ASSERT_TRUE(absent && absent->content);
+    EXPECT_FALSE(routing_table{*absent->content}.has_workspaces());
+}
+
+// Guards against requests that run without a key because the list of workspaces, or of their keys, cannot be read.
+TEST_F(row_control_store_test, a_malformed_list_of_workspaces_makes_the_declaration_unusable) {
+    for (const char* tenants : {"null", "{}", R"({"t":{"name":"t","api_keys":["k"]}})", R"("t")", "false", "0",
+                                "[null]", R"(["t"])", R"([{"api_keys":["k"]}])", R"([{"name":"t","api_keys":null}])",
+                                R"([{"name":"t","api_keys":"k"}])", R"([{"name":"t","api_keys":[1]}])"}) {
+        this->platform.put("op", "config",
+                           R"({"version":3,"routes":[],"services":[],"tenants":)" + std::string{tenants} + "}");
+        const auto change = this->store.read_routing();
+        ASSERT_TRUE(change);
+        EXPECT_FALSE(change->content) << tenants;
+    }
+}
+
+// Guards against a route that is taken for public, or for one without a split, because its field cannot be read.
+TEST_F(row_control_store_test, a_malformed_field_of_a_route_makes_the_declaration_unusable) {
+    for (const char* field : {R"("public":null)", R"("public":0)", R"("public":"")", R"("can_resume":null)",
+                              R"("split":null)", R"("split":{})"}) {
+        this->platform.put("op", "config",
+                           R"({"version":3,"routes":[{"host":"h","prefix":"/p/","kind":"safe","timeout_ms":8000,)"
+                           R"("service":"s",)" +
+                               std::string{field} + R"(}],"services":[]})");
+        const auto change = this->store.read_routing();
+        ASSERT_TRUE(change);
+        EXPECT_FALSE(change->content) << field;
+    }
+}
+
 // Guards against capacity that is calculated from a wrong speed of the engine, and against a declaration without one.
 TEST_F(row_control_store_test, the_speed_of_an_engine_is_read) {
     this->platform.put("op", "config",
--- a/tests/direct/decision_test.cpp
+++ b/tests/direct/decision_test.cpp
@@ -40,7 +40,7 @@
 // Guards against a key that resolves to the wrong workspace, and an empty key that resolves to any workspace.
 TEST(routing_table_test, finds_the_workspace_of_a_key) {
     routing_content content;
-    content.workspaces = {{"w1", {"k1", "k3"}, std::nullopt}, {"w2", {"k2"}, 0}};
+    content.workspaces = std::vector<workspace_keys>{{"w1", {"k1", "k3"}, std::nullopt}, {"w2", {"k2"}, 0}};
     const routing_table table{content};
     EXPECT_EQ(table.find_workspace("k3")->name, "w1");
     EXPECT_EQ(table.find_workspace("k2")->name, "w2");
--- a/tests/direct/direct_fixture.h
+++ b/tests/direct/direct_fixture.h
@@ -40,7 +40,7 @@
     content.routes = {test_route("/safe/", retry_policy::safe, 2), test_route("/unsafe/", retry_policy::unsafe, 1),
                       test_route("/stream/", retry_policy::stream, 2)};
     content.services = {{"s", 100, std::nullopt}};
-    content.workspaces = {{"w", {"key-1"}, 1}};
+    content.workspaces = std::vector<workspace_keys>{{"w", {"key-1"}, 1}};
     return content;
 }
 
--- a/tests/direct/spread_fixture.h
+++ b/tests/direct/spread_fixture.h
@@ -152,9 +152,10 @@
         this->stored.endpoints.erase(instance);
         this->stored.history.push_back({++this->stored.revision, {instance, std::nullopt}});
     }
-    void declare(std::uint64_t number) {
+    void declare(std::uint64_t number) { this->declare(routing_with_version(number)); }
+    void declare(routing_content content) {
         const std::lock_guard lock{this->mutex};
-        this->stored.routing = routing_with_version(number);
+        this->stored.routing = std::move(content);
         this->stored.routing_revision = ++this->stored.revision;
     }
 
