An empty or repeated key, and an empty name of a workspace, are not missing

What callers saw: where a workspace declares an empty key, requests without a key ran for it. Of two keys in one request the first one counted. A workspace with an empty name was not named to the endpoint, as if the request came by a public route.

Cause: a missing field was replaced by an empty text before the check, and direct_request held an empty text for "no workspace".

Change: a request needs exactly one key, which is not empty; otherwise it is refused with 401. direct_request::workspace is optional, and request_done logs "none" without one.

Evidence: workspace_list_test.an_empty_key_belongs_to_no_workspace, a_request_with_two_keys_is_refused and an_empty_name_is_sent_to_the_endpoint failed before and pass now.

--- a/src/direct/direct_request.cpp
+++ b/src/direct/direct_request.cpp
@@ -30,6 +30,14 @@
     return std::string_view{raw.target}.substr(0, raw.target.find('?'));
 }
 
+/// @returns the value of the field; empty when the request lacks it, or has several, of which none is preferred
+std::string only_value(const raw_request& raw, const std::string& name) {
+    const auto count = std::count_if(raw.headers.begin(), raw.headers.end(), [&name](const inner::header_field& field) {
+        return equals_ignoring_case(field.name, name);
+    });
+    return count == 1 ? raw.header(name).value_or("") : "";
+}
+
 /// @returns the service of a target; the share of tickets that select a target is proportional to its weight
 std::string pick_target(const route& matched_route, std::uint64_t ticket) {
     const std::uint64_t total =
@@ -80,7 +88,7 @@
                            snapshot.routing,
                            matched_route,
                            raw.header(this->names.request_id).value_or(""),
-                           "",
+                           std::nullopt,
                            "",
                            matched_route->importance,
                            parse_shared_segments(raw.header(this->names.prompt_segments).value_or("")),
@@ -89,7 +97,8 @@
                            {},
                            parse_prompt_tokens(raw.header(this->names.token_counts).value_or(""))};
     if (!matched_route->is_public && snapshot.routing->has_workspaces()) {
-        const workspace_keys* owner = snapshot.routing->find_workspace(raw.header(this->names.api_key).value_or(""));
+        const std::string key = only_value(raw, this->names.api_key);
+        const workspace_keys* owner = key.empty() ? nullptr : snapshot.routing->find_workspace(key);
         if (owner == nullptr) {
             return failure{error_kind::unauthorized,
                            "unknown key in version " + std::to_string(snapshot.routing->version())};
@@ -100,7 +109,8 @@
         request.workspace = owner->name;
         request.importance = owner->importance.value_or(matched_route->importance);
     }
-    request.fingerprint = make_fingerprint(raw.target, request.workspace, raw.body, request.shared_segments);
+    request.fingerprint =
+        make_fingerprint(raw.target, request.workspace.value_or(""), raw.body, request.shared_segments);
     request.service = pick_target(*matched_route, ticket);
     std::chrono::milliseconds wait{matched_route->timeout_ms};
     if (const auto deadline_text = raw.header(this->names.deadline_ms)) {
@@ -133,8 +143,8 @@
     headers.push_back({names.deadline_ms, std::to_string(std::max<std::int64_t>(time_left.count(), 1))});
     headers.push_back({names.expected_instance, instance});
     headers.push_back({names.importance, std::to_string(std::min(request.importance, lowest_importance))});
-    if (!request.workspace.empty()) {
-        headers.push_back({names.workspace, request.workspace});
+    if (request.workspace) {
+        headers.push_back({names.workspace, *request.workspace});
     }
     if (!resume_after.empty()) {
         headers.push_back({last_event_field, resume_after});
--- a/src/direct/direct_request.h
+++ b/src/direct/direct_request.h
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,7 +28,7 @@
     std::shared_ptr<const routing_table> routing; ///< the version used; keeps `matched_route` alive
     const route* matched_route{nullptr};
     std::string request_id;
-    std::string workspace; ///< empty on public routes
+    std::optional<std::string> workspace; ///< of the caller's key; none where no key is needed
     std::string service;
     std::uint32_t importance{0};
     std::vector<std::string> shared_segments; ///< ids of the prompt's segments that other requests may have too
--- a/src/direct/direct_service.cpp
+++ b/src/direct/direct_service.cpp
@@ -81,7 +81,7 @@
     this->parts.log.info(
         "request_done", {{"request", request.request_id},
                          {"route", request.matched_route->name},
-                         {"workspace", request.workspace},
+                         {"workspace", request.workspace.value_or("none")},
                          {"service", request.service},
                          {"status", std::to_string(outcome.status)},
                          {"endpoints", Poco::cat(std::string{","}, outcome.endpoints.begin(), outcome.endpoints.end())},
