A response with an empty signature is not signed

What callers saw: a success with an empty signature field was forwarded, and its statements about the endpoint were believed.

Cause: the checks asked whether the field was there.

Change: one function decides whether a response is signed, and an empty field does not sign it. Such a success is 502, or retried where the request may be.

Evidence: empty_field_test.an_empty_signature_signs_nothing failed before (200) and passes now; forwarding_test and endpoint_statement_test pass.

--- a/src/direct/direct_forwarder.cpp
+++ b/src/direct/direct_forwarder.cpp
@@ -165,7 +165,7 @@
     this->has_response_begun = true;
     // A failing endpoint may respond with an error before it processes the request, so that an error does not show that
     // the request is harmless.
-    this->is_processed = response.header(this->parts.names.signature) && response.status < first_server_error;
+    this->is_processed = this->is_signed(response) && response.status < first_server_error;
     this->record_statements(response);
     if (this->is_stream() && response.status == status_ok) {
         return this->forward_stream(response);
@@ -173,9 +173,13 @@
     return this->forward_full_response(response, until);
 }
 
+bool direct_forwarder::is_signed(const http_response_head& response) const {
+    return !response.header(this->parts.names.signature).value_or("").empty();
+}
+
 void direct_forwarder::record_statements(const http_response_head& response) {
     const endpoint_record& endpoint = this->permit->endpoint;
-    const bool is_signed = response.header(this->parts.names.signature).has_value();
+    const bool is_signed = this->is_signed(response);
     const std::optional<std::string> limit = response.header(this->parts.names.rate_limit);
     // Only a signed response without the field lifts a limit: others may not come from the endpoint.
     if (limit || is_signed) {
@@ -301,8 +305,7 @@
         }
         return attempt_end::refused;
     }
-    const bool is_signed = response.header(this->parts.names.signature).has_value();
-    if (response.status < first_redirect && (!is_signed || response.header("Content-Encoding"))) {
+    if (response.status < first_redirect && (!this->is_signed(response) || response.header("Content-Encoding"))) {
         this->outcome.reason = "a success without the endpoint's signature, or in another encoding";
         return attempt_end::failed;
     }
@@ -358,7 +361,7 @@
 }
 
 direct_forwarder::attempt_end direct_forwarder::forward_stream(const http_response_head& response) {
-    if (!response.header(this->parts.names.signature) || response.header("Content-Encoding")) {
+    if (!this->is_signed(response) || response.header("Content-Encoding")) {
         this->outcome.reason = "a stream without the endpoint's signature, or in another encoding";
         return attempt_end::failed;
     }
--- a/src/direct/direct_forwarder.h
+++ b/src/direct/direct_forwarder.h
@@ -101,6 +101,7 @@
     [[nodiscard]] steady_time response_time_limit() const;
     /// @returns the speed of the service's engines, for a route with a target for the pauses of streams
     [[nodiscard]] const engine_speed* engine() const;
+    [[nodiscard]] bool is_signed(const http_response_head& response) const;
     /// Records what the endpoint states about itself.
     void record_statements(const http_response_head& response);
     attempt_end classify_exchange(exchange_state state, const char* phase);
