A declared limit of 0 bytes for bodies is a limit

What callers saw: with body_bytes 0 bodies of up to 4 MB were accepted, as without a declared limit.

Cause: caller_limits held 0 for a missing limit.

Evidence: empty_field_test.a_limit_of_zero_bytes_is_a_limit failed before (200 in place of 413) and passes now; row_control_store_test passes.

--- a/src/direct/caller_server.cpp
+++ b/src/direct/caller_server.cpp
@@ -55,8 +55,8 @@
   private:
     [[nodiscard]] std::uint64_t body_limit() const {
         const routing_snapshot snapshot = this->state.current();
-        const std::uint64_t declared = snapshot.routing ? snapshot.routing->declared().limits.body_bytes : 0;
-        return declared > 0 ? declared : config::max_body_bytes;
+        return snapshot.routing ? snapshot.routing->declared().limits.body_bytes.value_or(config::max_body_bytes)
+                                : config::max_body_bytes;
     }
 
     direct_service& service;
--- a/src/direct/routing_table.h
+++ b/src/direct/routing_table.h
@@ -98,10 +98,10 @@
     friend bool operator==(const workspace_keys&, const workspace_keys&) = default;
 };
 
-/// Limits of callers' requests and connections.
+/// Limits of callers' requests and connections, as far as they are declared.
 struct caller_limits {
-    std::uint64_t body_bytes{0};
-    std::uint32_t idle_timeout_ms{0};
+    std::optional<std::uint64_t> body_bytes;
+    std::optional<std::uint32_t> idle_timeout_ms;
 
     template <class Archive> void serialize(Archive& archive) { archive(this->body_bytes, this->idle_timeout_ms); }
     friend bool operator==(const caller_limits&, const caller_limits&) = default;
--- a/tests/direct/empty_field_test.cpp
+++ b/tests/direct/empty_field_test.cpp
@@ -11,6 +11,21 @@
 using test_support::scripted_endpoint;
 using test_support::scripted_response;
 
+// Guards against bodies of any size at an entry whose declaration allows none.
+TEST(empty_field_test, a_limit_of_zero_bytes_is_a_limit) {
+    scripted_endpoint endpoint{
+        [](const std::string& request, std::size_t) { return scripted_response{full_response_to(request, 200, "x")}; }};
+    direct_entry entry{{endpoint.address()}};
+    routing_content content = test_routing(7);
+    content.limits.body_bytes = 0;
+    entry.state.apply_routing(content);
+    EXPECT_EQ(entry.call("POST", "/unsafe/x", "p").status, 413);
+    EXPECT_TRUE(endpoint.requests().empty());
+    EXPECT_EQ(entry.call("GET", "/safe/x").status, 200);
+    entry.state.apply_routing(test_routing(8));
+    EXPECT_EQ(entry.call("POST", "/unsafe/x", "p").status, 200);
+}
+
 // Guards against a success that is forwarded although its signature is empty.
 TEST(empty_field_test, an_empty_signature_signs_nothing) {
     scripted_endpoint endpoint{[](const std::string& request, std::size_t) {
