--- a/src/direct/departure_log.h
+++ b/src/direct/departure_log.h
@@ -1,14 +1,13 @@
 #pragma once
 
 #include "direct/endpoint_list.h"
+#include "direct/endpoint_reading.h"
 
 #include <pomelohoist/clock.h>
 
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <string>
-#include <utility>
 #include <vector>
 
 /// Endpoints that have left, so that a store restored from an older copy does not bring them back.
@@ -22,8 +21,15 @@
     /// Records the endpoints of the previous list that the next one does not contain or marks as leaving.
     void record(const std::vector<endpoint_record>& previous, const std::vector<endpoint_record>& next,
                 steady_time now);
-    /// Called when the store has been restored.
-    void begin_hold(steady_time now) { this->restored_at = now; }
+    /// Called when this process learns that the store has been restored.
+    /// @param until end of the hold
+    void begin_hold(steady_time now, steady_time until);
+    /// Adopts the hold of another process. Disregarded when this process has learned of a restore itself: its own
+    /// departures decide then.
+    void adopt_hold(const std::vector<reported_departure>& departed, steady_time now, steady_time until);
+    /// @returns the departures that take precedence over the store, or nothing
+    [[nodiscard]] std::optional<reported_hold> hold(steady_time now) const;
+    /// @returns when this process learned of the last restore, if any
     [[nodiscard]] std::optional<steady_time> last_restore() const { return this->restored_at; }
     /// @returns true while departures from before the restore take precedence over the store
     [[nodiscard]] bool is_holding(steady_time now) const;
@@ -31,7 +37,6 @@
     [[nodiscard]] std::vector<endpoint_record> without_departed(std::vector<endpoint_record> records) const;
 
   private:
-    using incarnation = std::pair<std::string, std::uint64_t>; ///< instance and start
     struct departure {
         steady_time at{};
         bool is_removed{false}; ///< false: is leaving
@@ -39,13 +44,12 @@
         friend bool operator==(const departure&, const departure&) = default;
     };
 
-    [[nodiscard]] static incarnation incarnation_of(const endpoint_record& record) {
-        return {record.instance, record.started_ms};
-    }
     [[nodiscard]] const departure* find_held(const endpoint_record& record) const;
 
-    std::map<incarnation, departure> departures;
+    std::map<endpoint_incarnation, departure> departures;
     std::optional<steady_time> restored_at;
+    steady_time held_before{}; ///< departures before this time take precedence during the hold
+    std::optional<steady_time> held_until;
 };
 
 } // namespace pomelohoist
--- a/src/direct/direct_messages.h
+++ b/src/direct/direct_messages.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "direct/crash_messages.h"
-#include "direct/endpoint_list.h"
+#include "direct/endpoint_reading.h"
 #include "direct/endpoint_statements.h"
 #include "direct/evacuation_list.h"
 #include "direct/routing_state.h"
@@ -81,7 +81,7 @@
 struct routing_pull_response {
     static constexpr message_type type = message_type::routing_pull_response;
     std::optional<routing_content> routing;
-    std::optional<endpoint_list> endpoints;
+    std::optional<endpoint_reading> endpoints;
     std::vector<reported_quarantine> quarantines; ///< all in force
     std::optional<evacuation_list> evacuations;
 
--- a/src/direct/endpoint_list.cpp
+++ b/src/direct/endpoint_list.cpp
@@ -7,14 +7,12 @@
 
 namespace {
 
-constexpr unsigned removal_bits = 8;
-constexpr unsigned era_shift = 48; // leaves 40 bits for the number of a store's revision
+constexpr unsigned era_shift = 48; // leaves 48 bits for the number of a store's revision
 
 } // namespace
 
-std::uint64_t make_list_revision(const store_revision& read_at, std::uint64_t delayed_removals) {
-    return (read_at.era << era_shift) | (read_at.number << removal_bits) |
-           std::min(delayed_removals, max_delayed_removals);
+std::uint64_t make_list_revision(const store_revision& read_at) {
+    return (read_at.era << era_shift) | read_at.number;
 }
 
 std::uint64_t era_of_list(std::uint64_t list_revision) {
--- a/src/direct/endpoint_list.h
+++ b/src/direct/endpoint_list.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 /// The endpoints that are registered in the platform's store.
@@ -31,24 +32,27 @@
     friend bool operator==(const endpoint_record&, const endpoint_record&) = default;
 };
 
+/// Instance and start: an endpoint that starts again may keep its instance.
+using endpoint_incarnation = std::pair<std::string, std::uint64_t>;
+
+inline endpoint_incarnation incarnation_of(const endpoint_record& record) {
+    return {record.instance, record.started_ms};
+}
+
 /// One version of the list. A higher revision is newer.
 struct endpoint_list {
-    std::uint64_t revision{0}; ///< made by `make_list_revision`
+    std::uint64_t revision{0}; ///< of the reading that it comes from, made by `make_list_revision`
     std::vector<endpoint_record> endpoints;
 
     template <class Archive> void serialize(Archive& archive) { archive(this->revision, this->endpoints); }
     friend bool operator==(const endpoint_list&, const endpoint_list&) = default;
 };
 
-/// Combines the store's revision and the number of delayed removals that were applied at that revision, so that a later
-/// list has a higher revision, also after a restore of the store.
-std::uint64_t make_list_revision(const store_revision& read_at, std::uint64_t delayed_removals);
+/// @returns a number that is higher for a later reading, also after a restore of the store
+std::uint64_t make_list_revision(const store_revision& read_at);
 /// @returns the era of the store in which the list was read
 std::uint64_t era_of_list(std::uint64_t list_revision);
 
-/// Largest number of delayed removals that `make_list_revision` distinguishes.
-inline constexpr std::uint64_t max_delayed_removals = 255;
-
 /// Removes each record whose address is also in the record of a later start: an endpoint that restarts registers under
 /// a new name, and its old registration expires only some seconds later.
 std::vector<endpoint_record> without_superseded(std::vector<endpoint_record> records);
--- a/src/direct/peer_link.cpp
+++ b/src/direct/peer_link.cpp
@@ -363,10 +363,16 @@
         this->send_crash_evidence();
     }
     const routing_versions known = this->state.current().versions();
+    const routing_versions confirmed = this->state.confirmed_versions();
     const bool has_quarantine = this->crashes != nullptr && update.quarantine_summary != 0 &&
                                 update.quarantine_summary != this->crashes->summary();
-    if (update.versions().has_newer_than(known) || has_quarantine) {
+    if (update.versions().has_newer_than(confirmed) || has_quarantine) {
         this->request_pull(from);
+    } else if (update.versions().has_newer_than(known)) {
+        // The peer's list is older than the newest reading of this process, although its revision is higher than that
+        // of the list in use.
+        this->state.adopt_confirmed_versions();
+        this->send_update();
     } else if (update.store_age_ms >= 0 && update.versions() == known) {
         // When all versions are equal, the peer's last read of the store also confirms the routing state of this
         // process, so the age of that read is adopted.
@@ -404,7 +410,8 @@
 }
 
 void peer_link::pull_from(const net_address& from) {
-    const inner::routing_pull_request request{this->state.current().versions()};
+    const inner::routing_pull_request request{this->state.confirmed_versions()};
+    const steady_time asked_at = this->time.now();
     result<inner::routing_pull_response> response = inner::call_stream<inner::routing_pull_response>(
         from, this->options.own.name, request, config::state_pull_timeout);
     if (!response) {
@@ -420,7 +427,7 @@
         is_new = this->state.apply_routing(std::move(*response->routing)) || is_new;
     }
     if (response->endpoints) {
-        is_new = this->state.apply_endpoints(std::move(*response->endpoints)) || is_new;
+        is_new = this->state.merge_endpoints(*response->endpoints, asked_at) || is_new;
     }
     if (this->crashes != nullptr) {
         this->crashes->adopt(response->quarantines);
@@ -448,7 +455,7 @@
         response.routing = snapshot.routing->declared();
     }
     if (snapshot.versions().endpoints > request->known.endpoints) {
-        response.endpoints = *snapshot.endpoints;
+        response.endpoints = this->state.endpoint_report();
     }
     if (snapshot.versions().evacuations > request->known.evacuations) {
         response.evacuations = *snapshot.evacuations;
--- a/src/direct/routing_state.cpp
+++ b/src/direct/routing_state.cpp
@@ -1,24 +1,14 @@
 #include "direct/routing_state.h"
 
+#include <pomelohoist/config.h>
+
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace pomelohoist {
 
-namespace {
-
-/// @returns the number of endpoints that the store lists as ready although they had left
-std::size_t count_departed(const endpoint_list& listed, const endpoint_list& used) {
-    const auto ready = [](const endpoint_list& list) {
-        return static_cast<std::size_t>(std::count_if(list.endpoints.begin(), list.endpoints.end(),
-                                                      [](const auto& record) { return !record.is_leaving; }));
-    };
-    return ready(listed) - ready(used);
-}
-
-} // namespace
-
 routing_versions routing_snapshot::versions() const {
     return {this->routing ? this->routing->version() : 0, this->endpoints ? this->endpoints->revision : 0,
             this->evacuations ? this->evacuations->revision : 0};
@@ -46,11 +36,11 @@
     return true;
 }
 
-bool routing_state::record_era(std::uint64_t era) {
+bool routing_state::record_era(std::uint64_t era, steady_time hold_until) {
     const bool is_restored = this->store_era && *this->store_era < era;
     this->store_era = std::max(this->store_era.value_or(era), era);
     if (is_restored) {
-        this->departures.begin_hold(this->time.now());
+        this->endpoints.begin_hold(this->time.now(), hold_until);
     }
     return is_restored;
 }
@@ -59,62 +49,80 @@
     std::uint64_t list = 0;
     {
         const std::lock_guard lock{this->mutex};
-        if (!this->record_era(era)) {
+        if (!this->record_era(era, this->time.now() + config::restored_registration_time)) {
             return;
         }
-        list = this->content.endpoints ? this->content.endpoints->revision : 0;
+        list = this->content.versions().endpoints;
     }
     this->log.warn("store_restored", {{"era", std::to_string(era)}, {"list", std::to_string(list)}});
 }
 
 std::optional<steady_time> routing_state::last_restore() const {
     const std::lock_guard lock{this->mutex};
-    return this->departures.last_restore();
+    return this->endpoints.last_restore();
 }
 
-bool routing_state::apply_endpoints(endpoint_list list) {
-    const std::uint64_t revision = list.revision;
-    const steady_time now = this->time.now();
-    std::shared_ptr<const endpoint_list> applied;
-    std::size_t departed = 0;
+routing_state::published_endpoints routing_state::publish_endpoints() {
+    this->content.endpoints = std::make_shared<const endpoint_list>(this->endpoints.used());
+    return {this->content.endpoints, this->endpoints.kept_count(), this->endpoints.departed()};
+}
+
+bool routing_state::apply_endpoints(endpoint_list list, missing_endpoints missing) {
+    published_endpoints applied;
     {
         const std::lock_guard lock{this->mutex};
-        const std::shared_ptr<const endpoint_list> current = this->content.endpoints;
-        if (current && current->revision >= revision) {
+        const steady_time now = this->time.now();
+        const std::uint64_t revision = list.revision;
+        if (revision > this->endpoints.confirmed_revision()) {
+            this->record_era(era_of_list(revision), now + config::restored_registration_time);
+        }
+        if (!this->endpoints.read(std::move(list), missing, now)) {
             return false;
         }
-        this->record_era(era_of_list(revision));
-        applied = std::make_shared<const endpoint_list>(std::move(list));
-        this->held_list.reset();
-        if (this->departures.is_holding(now)) {
-            endpoint_list used{revision, this->departures.without_departed(applied->endpoints)};
-            if (used != *applied) {
-                departed = count_departed(*applied, used);
-                this->held_list = applied;
-                applied = std::make_shared<const endpoint_list>(std::move(used));
-            }
+        if (this->endpoints.used().revision != revision) {
+            return true; // the list in use is confirmed
         }
-        if (current) {
-            this->departures.record(current->endpoints, applied->endpoints, now);
+        applied = this->publish_endpoints();
+    }
+    this->log_endpoints(applied);
+    return true;
+}
+
+bool routing_state::merge_endpoints(const endpoint_reading& reported, steady_time asked_at) {
+    published_endpoints applied;
+    {
+        const std::lock_guard lock{this->mutex};
+        const steady_time now = this->time.now();
+        const std::uint64_t revision = reported.listed.revision;
+        if (this->endpoints.has_reading() && revision <= this->endpoints.confirmed_revision()) {
+            return false;
         }
-        this->content.endpoints = applied;
+        // The other process may have known of the restore for some time.
+        this->record_era(era_of_list(revision), reported.hold
+                                                    ? asked_at + std::chrono::milliseconds{reported.hold->left_ms}
+                                                    : now + config::restored_registration_time);
+        this->endpoints.merge(reported, asked_at, now);
+        applied = this->publish_endpoints();
     }
-    this->log_endpoints(*applied, departed);
+    this->log_endpoints(applied);
     return true;
 }
 
-void routing_state::end_hold() {
-    std::shared_ptr<const endpoint_list> released;
+std::optional<endpoint_reading> routing_state::endpoint_report() const {
+    const std::lock_guard lock{this->mutex};
+    return this->endpoints.has_reading() ? std::optional{this->endpoints.report(this->time.now())} : std::nullopt;
+}
+
+void routing_state::apply_due_changes() {
+    published_endpoints changed;
     {
         const std::lock_guard lock{this->mutex};
-        if (!this->held_list || this->departures.is_holding(this->time.now())) {
+        if (!this->endpoints.apply_due_changes(this->time.now())) {
             return;
         }
-        released = std::move(this->held_list);
-        this->held_list.reset();
-        this->content.endpoints = released;
+        changed = this->publish_endpoints();
     }
-    this->log_endpoints(*released, 0);
+    this->log_endpoints(changed);
 }
 
 bool routing_state::apply_evacuations(evacuation_list list) {
@@ -123,15 +131,53 @@
     {
         const std::lock_guard lock{this->mutex};
         previous = this->content.evacuations;
-        if (previous && previous->revision >= next->revision) {
+        if (previous && this->confirmed_evacuations >= next->revision) {
             return false;
         }
+        this->confirmed_evacuations = next->revision;
         this->content.evacuations = next;
     }
     this->log_evacuations(previous ? *previous : evacuation_list{}, *next);
     return true;
 }
 
+void routing_state::read_evacuations(evacuation_list list) {
+    {
+        const std::lock_guard lock{this->mutex};
+        const std::shared_ptr<const evacuation_list>& current = this->content.evacuations;
+        if (!current && list.data_centres.empty()) {
+            return;
+        }
+        if (current && current->data_centres == list.data_centres &&
+            era_of_list(current->revision) == era_of_list(list.revision)) {
+            this->confirmed_evacuations = std::max(this->confirmed_evacuations, list.revision);
+            return;
+        }
+    }
+    this->apply_evacuations(std::move(list));
+}
+
+routing_versions routing_state::confirmed_versions() const {
+    const std::lock_guard lock{this->mutex};
+    return {this->content.versions().routing, this->endpoints.confirmed_revision(), this->confirmed_evacuations};
+}
+
+void routing_state::adopt_confirmed_versions() {
+    published_endpoints confirmed;
+    {
+        const std::lock_guard lock{this->mutex};
+        if (this->content.evacuations && this->content.evacuations->revision != this->confirmed_evacuations) {
+            this->content.evacuations = std::make_shared<const evacuation_list>(
+                evacuation_list{this->confirmed_evacuations, this->content.evacuations->data_centres});
+        }
+        if (!this->endpoints.adopt_confirmed_revision()) {
+            return;
+        }
+        confirmed = this->publish_endpoints();
+    }
+    this->log_endpoints(confirmed);
+}
+
 void routing_state::log_evacuations(const evacuation_list& previous, const evacuation_list& next) {
     const std::string revision = std::to_string(next.revision);
     for (const std::string& name : next.data_centres) {
@@ -146,13 +192,15 @@
     }
 }
 
-void routing_state::log_endpoints(const endpoint_list& list, std::size_t departed) {
-    const auto leaving = std::count_if(list.endpoints.begin(), list.endpoints.end(),
-                                       [](const endpoint_record& record) { return record.is_leaving; });
-    this->log.info("endpoints_applied", {{"revision", std::to_string(list.revision)},
-                                         {"endpoints", std::to_string(list.endpoints.size())},
+void routing_state::log_endpoints(const published_endpoints& published) {
+    const std::vector<endpoint_record>& records = published.list->endpoints;
+    const auto leaving =
+        std::count_if(records.begin(), records.end(), [](const endpoint_record& record) { return record.is_leaving; });
+    this->log.info("endpoints_applied", {{"revision", std::to_string(published.list->revision)},
+                                         {"endpoints", std::to_string(records.size())},
                                          {"leaving", std::to_string(leaving)},
-                                         {"departed", std::to_string(departed)}});
+                                         {"kept", std::to_string(published.kept)},
+                                         {"departed", std::to_string(published.departed)}});
 }
 
 void routing_state::record_store_read(std::chrono::milliseconds age) {
--- a/src/direct/routing_state.h
+++ b/src/direct/routing_state.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "common/log.h"
-#include "direct/departure_log.h"
-#include "direct/endpoint_list.h"
+#include "direct/endpoint_reading.h"
+#include "direct/endpoint_view.h"
 #include "direct/evacuation_list.h"
 #include "direct/routing_table.h"
 
@@ -56,18 +56,33 @@
     [[nodiscard]] routing_snapshot current() const;
     /// @returns false when the same or a newer version is already in use
     bool apply_routing(routing_content content);
-    /// A list of a new era of the store comes from an older copy: endpoints that had left before are not used again.
-    /// @returns false when the same or a newer list is already in use
-    bool apply_endpoints(endpoint_list list);
+    /// Uses a reading of the store by this process; see `endpoint_view::read`. A list of a new era of the store comes
+    /// from an older copy: endpoints that had left before are not used again.
+    /// @returns false when the same or a newer reading is already in use
+    bool apply_endpoints(endpoint_list list, missing_endpoints missing = missing_endpoints::removed);
+    /// Uses what another process has sent; see `endpoint_view::merge`.
+    /// @param asked_at time before the other process sent it
+    /// @returns false when the same or a newer reading is already in use
+    bool merge_endpoints(const endpoint_reading& reported, steady_time asked_at);
+    /// @returns what this process knows of the endpoints, for other processes; nothing before the first reading
+    [[nodiscard]] std::optional<endpoint_reading> endpoint_report() const;
     /// @returns false when the same or a newer list is already in use
     bool apply_evacuations(evacuation_list list);
+    /// Uses a reading of the store by this process. A list with the content of the list in use only confirms that, and
+    /// one without any evacuation is needed only in place of another list.
+    void read_evacuations(evacuation_list list);
+    /// @returns the versions that are older than all that this process would apply
+    [[nodiscard]] routing_versions confirmed_versions() const;
+    /// Called when another process has a list that is older than the newest reading of this process but has a higher
+    /// revision than the list in use: gives the lists in use the revisions of the readings that have confirmed them.
+    void adopt_confirmed_versions();
     /// Called with the era of each response of the store. A higher era than before means that the store was restored.
     void observe_era(std::uint64_t era);
     /// @returns when this process learned of the last restore of the store, if any
     [[nodiscard]] std::optional<steady_time> last_restore() const;
-    /// Uses the endpoints that were left out after a restore of the store, once they are known to be still registered;
-    /// called from time to time.
-    void end_hold();
+    /// Removes endpoints that were kept for some time only, and uses those that were left out after a restore of the
+    /// store once they are known to be still registered; called from time to time.
+    void apply_due_changes();
 
     /// Records that the store was read, by this process or by a peer.
     /// @param age time since that read
@@ -76,9 +91,19 @@
     [[nodiscard]] std::optional<std::chrono::milliseconds> store_age() const;
 
   private:
+    /// @param hold_until end of the hold if the store was restored
     /// @returns true when the store was restored; requires the mutex
-    bool record_era(std::uint64_t era);
-    void log_endpoints(const endpoint_list& list, std::size_t departed);
+    bool record_era(std::uint64_t era, steady_time hold_until);
+    /// The endpoints of new snapshots, and what the log says about them.
+    struct published_endpoints {
+        std::shared_ptr<const endpoint_list> list;
+        std::size_t kept{0};
+        std::size_t departed{0};
+    };
+
+    /// Uses the endpoints of the view in new snapshots; requires the mutex.
+    published_endpoints publish_endpoints();
+    void log_endpoints(const published_endpoints& published);
     void log_evacuations(const evacuation_list& previous, const evacuation_list& next);
 
     const clock& time;
@@ -86,8 +111,8 @@
     mutable std::mutex mutex;
     routing_snapshot content;
     std::optional<std::uint64_t> store_era;
-    departure_log departures;
-    std::shared_ptr<const endpoint_list> held_list; ///< as applied, if endpoints were left out of the list in use
+    endpoint_view endpoints;
+    std::uint64_t confirmed_evacuations{0}; ///< revision of the newest list with the content of the list in use
     std::optional<steady_time> store_read_at;
 };
 
--- a/src/direct/store_watcher.cpp
+++ b/src/direct/store_watcher.cpp
@@ -72,7 +72,7 @@
 
 void store_watcher::watch_loop() {
     while (!this->stopping) {
-        this->state.end_hold();
+        this->state.apply_due_changes();
         const auto age = this->state.store_age();
         const bool has_full_state = this->state.current().routing && this->state.current().endpoints;
         const bool is_first = this->is_entry && this->peers.rank_among_live() == 0;
@@ -227,17 +227,10 @@
             this->evacuated.erase(each.data_centre);
         }
     }
-    evacuation_list list{make_list_revision(change.revision, 0), {this->evacuated.begin(), this->evacuated.end()}};
-    const routing_snapshot current = this->state.current();
-    // Compared after each read, since a peer may have sent a list that was taken back before this process began to
-    // read. A list without any evacuation is needed only in place of another list.
-    const bool is_changed = current.evacuations
-                                ? current.evacuations->data_centres != list.data_centres ||
-                                      era_of_list(current.evacuations->revision) != era_of_list(list.revision)
-                                : !list.data_centres.empty();
-    if (is_changed) {
-        this->state.apply_evacuations(std::move(list));
-    }
+    // Passed on after each read, since a peer may have sent a list that was taken back before this process began to
+    // read.
+    this->state.read_evacuations(
+        {make_list_revision(change.revision), {this->evacuated.begin(), this->evacuated.end()}});
 }
 
 bool store_watcher::read_endpoints() {
@@ -248,6 +241,7 @@
             this->state.observe_era(snapshot->revision.era);
             this->record_cold(snapshot->cold);
             this->replace_endpoints(*snapshot);
+            this->publish();
         }
         return snapshot.has_value();
     }
@@ -263,12 +257,8 @@
     this->record_call(done{}, "follow_endpoints");
     this->state.observe_era(changes->revision.era);
     this->record_cold(changes->cold);
-    this->set_endpoints_revision(changes->revision);
-    this->is_unpublished = this->apply(*changes) || this->is_unpublished;
-    this->apply_due_removals();
-    if (this->is_unpublished) {
-        this->publish();
-    }
+    this->apply(*changes);
+    this->publish();
     return true;
 }
 
@@ -288,89 +278,36 @@
     return is_over(this->last_failure) && is_over(this->state.last_restore());
 }
 
-bool store_watcher::apply(const endpoint_changes& changes) {
-    bool is_changed = false;
+void store_watcher::apply(const endpoint_changes& changes) {
     for (const endpoint_change& change : changes.changes) {
-        const auto found = this->endpoints.find(change.instance);
         if (change.record) {
-            this->pending_removals.erase(change.instance);
-            if (found == this->endpoints.end() || found->second != *change.record) {
-                this->endpoints[change.instance] = *change.record;
-                is_changed = true;
-            }
-        } else if (found != this->endpoints.end()) {
-            if (this->is_store_reliable()) {
-                this->endpoints.erase(found);
-                is_changed = true;
-            } else {
-                this->pending_removals.emplace(change.instance, this->time.now() + config::endpoint_return_time);
-            }
+            this->endpoints[change.instance] = *change.record;
+        } else {
+            this->endpoints.erase(change.instance);
         }
     }
-    return is_changed;
+    this->endpoints_revision = changes.revision;
 }
 
 void store_watcher::replace_endpoints(const endpoint_snapshot& snapshot) {
-    std::map<std::string, endpoint_record> next;
+    this->endpoints.clear();
     for (const endpoint_record& record : snapshot.endpoints) {
-        next[record.instance] = record;
-        this->pending_removals.erase(record.instance);
+        this->endpoints[record.instance] = record;
     }
-    // Registrations that expired during an outage of the store are renewed soon after the outage. Until then the
-    // endpoints that this process knew before are kept, whether read from the store or received from a peer.
-    if (!this->is_store_reliable()) {
-        const routing_snapshot current = this->state.current();
-        if (current.endpoints) {
-            for (const endpoint_record& record : current.endpoints->endpoints) {
-                if (next.emplace(record.instance, record).second) {
-                    this->pending_removals.emplace(record.instance, this->time.now() + config::endpoint_return_time);
-                }
-            }
-        }
-    }
-    this->endpoints = std::move(next);
-    this->set_endpoints_revision(snapshot.revision);
-    this->publish();
-}
-
-void store_watcher::apply_due_removals() {
-    for (auto entry = this->pending_removals.begin(); entry != this->pending_removals.end();) {
-        if (this->time.now() < entry->second) {
-            ++entry;
-            continue;
-        }
-        if (this->endpoints.erase(entry->first) > 0) {
-            this->is_unpublished = true;
-            this->delayed_removal_count = std::min(this->delayed_removal_count + 1, max_delayed_removals);
-        }
-        entry = this->pending_removals.erase(entry);
-    }
-}
-
-void store_watcher::set_endpoints_revision(const store_revision& revision) {
-    if (this->endpoints_revision != revision) {
-        this->delayed_removal_count = 0;
-    }
-    this->endpoints_revision = revision;
+    this->endpoints_revision = snapshot.revision;
 }
 
 void store_watcher::publish() {
-    endpoint_list list;
-    // A delayed removal changes the list without a new revision of the store.
-    list.revision = make_list_revision(*this->endpoints_revision, this->delayed_removal_count);
+    endpoint_list list{make_list_revision(*this->endpoints_revision), {}};
     list.endpoints.reserve(this->endpoints.size());
     for (const auto& [instance, record] : this->endpoints) {
         list.endpoints.push_back(record);
     }
     list.endpoints = without_superseded(std::move(list.endpoints));
-    this->is_unpublished = false;
-    const routing_snapshot current = this->state.current();
-    if (!current.endpoints || current.endpoints->endpoints != list.endpoints ||
-        era_of_list(current.endpoints->revision) != era_of_list(list.revision)) {
-        // `apply_endpoints` rejects a list that is older than the list in use. The list in use then comes from another
-        // process that has read the store later.
-        this->state.apply_endpoints(std::move(list));
-    }
+    // Registrations that expired during an outage of the store are renewed soon after the outage.
+    this->state.apply_endpoints(std::move(list),
+                                this->is_store_reliable() ? missing_endpoints::removed : missing_endpoints::kept);
+    this->state.apply_due_changes();
 }
 
 } // namespace pomelohoist
--- a/src/direct/store_watcher.h
+++ b/src/direct/store_watcher.h
@@ -57,13 +57,11 @@
     /// Adopts the stored quarantines, at the start and then from time to time if this process is the reader. The reader
     /// also stores those that have begun or ended.
     void sync_quarantines(bool is_reader);
-    bool apply(const endpoint_changes& changes);
+    void apply(const endpoint_changes& changes);
     void replace_endpoints(const endpoint_snapshot& snapshot);
-    /// Removes endpoints whose removal was delayed while the store was not reliable and is due now.
-    void apply_due_removals();
     void record_cold(const std::vector<cold_endpoint>& cold);
+    /// Passes the endpoints on as one reading of the store, exactly as it lists them.
     void publish();
-    void set_endpoints_revision(const store_revision& revision);
     [[nodiscard]] std::chrono::milliseconds stale_after() const;
     [[nodiscard]] bool is_store_reliable() const;
     /// Logs a read that failed because the store has compacted the watched part of its history.
@@ -94,11 +92,7 @@
     std::optional<store_revision> routing_revision;
     std::optional<store_revision> endpoints_revision;
     std::set<std::string> evacuated;                  ///< data centres, as read by this process
-    std::uint64_t delayed_removal_count{0};           ///< delayed removals that were applied at `endpoints_revision`
     std::map<std::string, endpoint_record> endpoints; ///< by instance, as read by this process
-    /// Removal times, by instance, of endpoints that the store dropped while it was not reliable.
-    std::map<std::string, steady_time> pending_removals;
-    bool is_unpublished{false}; ///< `endpoints` has changed since it was published
     std::optional<steady_time> last_failure;
 
     std::atomic<bool> stopping{false};
--- a/tests/direct/spread_fixture.h
+++ b/tests/direct/spread_fixture.h
@@ -217,6 +217,64 @@
     store_content stored;
 };
 
+/// The way of one process to a store that other processes use as well.
+class store_path : public control_store {
+  public:
+    enum class condition : std::uint8_t {
+        open,
+        refused, ///< calls fail at once
+        silent,  ///< calls fail after some time
+        count
+    };
+
+    explicit store_path(fake_store& target) : store(target) {}
+
+    result<done> register_peer(const peer_record& own) override {
+        return this->pass<done>([&] { return this->store.register_peer(own); });
+    }
+    result<std::vector<peer_record>> read_peers() override {
+        return this->pass<std::vector<peer_record>>([&] { return this->store.read_peers(); });
+    }
+    result<routing_change> read_routing() override {
+        return this->pass<routing_change>([&] { return this->store.read_routing(); });
+    }
+    result<routing_change> watch_routing(const store_revision& after, std::chrono::milliseconds wait) override {
+        return this->pass<routing_change>([&] { return this->store.watch_routing(after, wait); });
+    }
+    result<endpoint_snapshot> read_endpoints() override {
+        return this->pass<endpoint_snapshot>([&] { return this->store.read_endpoints(); });
+    }
+    result<endpoint_changes> watch_endpoints(const store_revision& after) override {
+        return this->pass<endpoint_changes>([&] { return this->store.watch_endpoints(after); });
+    }
+    result<std::vector<stored_quarantine>> read_quarantines() override {
+        return this->pass<std::vector<stored_quarantine>>([&] { return this->store.read_quarantines(); });
+    }
+    result<done> write_quarantine(const stored_quarantine& held) override {
+        return this->pass<done>([&] { return this->store.write_quarantine(held); });
+    }
+    result<done> remove_quarantine(request_trait trait) override {
+        return this->pass<done>([&] { return this->store.remove_quarantine(trait); });
+    }
+
+    std::atomic<condition> state{condition::open};
+    std::atomic<int> failing_calls{0}; ///< number of next calls that are refused
+
+  private:
+    template <class T> result<T> pass(const std::function<result<T>()>& call) {
+        if (this->state == condition::silent) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{300});
+        }
+        if (this->state != condition::open || this->failing_calls > 0) {
+            this->failing_calls = std::max(0, this->failing_calls - 1);
+            return failure{error_kind::store_unavailable, "refused"};
+        }
+        return call();
+    }
+
+    fake_store& store;
+};
+
 /// Store watcher, peer link and routing state of one process.
 class node {
   public:
