A quarantine that has ended or was lifted does not come back from a peer

A quarantine that had ended at one entry could be adopted again from another, where it ended some milliseconds later, and be sent back from there. One that was lifted stayed with an entry that was out of touch at that time, and came back with it to entries that had started since.

Cause: the end of an adopted quarantine counted from the arrival of the message, and only quarantines in force counted as known. The response that lifts one is reported for some seconds only.

Change: the end counts from before the pull; a quarantine that began before the known one ended is the same one. A process that is offered a quarantine which a response has lifted reports that response again.

Evidence: crash_quarantine_test.an_old_copy_of_an_ended_quarantine_is_not_adopted and an_old_copy_of_a_lifted_quarantine_is_lifted_as_well failed before and pass now.

--- a/src/direct/crash_quarantine.cpp
+++ b/src/direct/crash_quarantine.cpp
@@ -312,18 +312,23 @@
     return combined;
 }
 
-void crash_quarantine::adopt(const std::vector<inner::reported_quarantine>& others) {
+void crash_quarantine::adopt(const std::vector<inner::reported_quarantine>& others, steady_time asked_at) {
     const std::lock_guard lock{this->mutex};
     const steady_time now = this->time.now();
     for (const inner::reported_quarantine& other : others) {
         const quarantine held{now - std::chrono::milliseconds{other.age_ms},
-                              now + std::chrono::milliseconds{other.left_ms}};
+                              asked_at + std::chrono::milliseconds{other.left_ms}};
         const std::optional<steady_time> response = this->record_of(other.trait).last_response;
-        const auto known = this->known_quarantines.find(other.trait);
-        const bool is_known = known != this->known_quarantines.end() && now < known->second.until;
         // `age_ms` was computed when the other process sent its response to the pull.
-        const bool is_lifted = response && *response > held.since - config::state_pull_timeout;
-        if (is_known || is_lifted || this->known_quarantines.size() >= config::max_quarantines) {
+        if (response && *response > held.since - config::state_pull_timeout) {
+            // The other process has missed the response that lifted it.
+            this->own_responses[other.trait] = now;
+            continue;
+        }
+        // The same quarantine ends a little later in a process that received it later. It must not begin again here.
+        const auto known = this->known_quarantines.find(other.trait);
+        const bool is_known = known != this->known_quarantines.end() && held.since < known->second.until;
+        if (is_known || held.until <= now || this->known_quarantines.size() >= config::max_quarantines) {
             continue;
         }
         this->known_quarantines[other.trait] = held;
--- a/src/direct/crash_quarantine.h
+++ b/src/direct/crash_quarantine.h
@@ -59,7 +59,9 @@
     /// @returns a digest of the traits in quarantine, to compare with other processes; 0 for none
     [[nodiscard]] std::uint32_t summary() const;
     /// Adds the quarantines of another process, except of traits that have had a response since.
-    void adopt(const std::vector<inner::reported_quarantine>& others);
+    void adopt(const std::vector<inner::reported_quarantine>& others) { this->adopt(others, this->time.now()); }
+    /// @param asked_at time before the other process sent them; what is left of them counts from then
+    void adopt(const std::vector<inner::reported_quarantine>& others, steady_time asked_at);
 
   private:
     endpoint_crash& crash_of(std::uint64_t incarnation, steady_time at);
--- a/src/direct/peer_link.cpp
+++ b/src/direct/peer_link.cpp
@@ -430,7 +430,7 @@
         is_new = this->state.merge_endpoints(*response->endpoints, asked_at) || is_new;
     }
     if (this->crashes != nullptr) {
-        this->crashes->adopt(response->quarantines);
+        this->crashes->adopt(response->quarantines, asked_at);
     }
     // The entries tell everyone, so the many processes beside ranks need not.
     if (is_new && this->options.is_entry) {
--- a/tests/direct/crash_analysis_test.cpp
+++ b/tests/direct/crash_analysis_test.cpp
@@ -251,6 +251,46 @@
     EXPECT_FALSE(this->first.is_quarantined({70, {common_segment}}));
 }
 
+// Guards against a quarantine that never ends, since processes in which it ends some milliseconds later send it back.
+TEST_F(crash_quarantine_test, an_old_copy_of_an_ended_quarantine_is_not_adopted) {
+    this->time.advance(1h);
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        this->crash(this->first, i, run_of(i, {common_segment}));
+    }
+    ASSERT_TRUE(this->first.decide(0ms));
+    const std::uint32_t left = this->first.quarantines().front().left_ms;
+    this->time.advance(std::chrono::milliseconds{left} - 10ms);
+    const std::vector<inner::reported_quarantine> late = this->first.quarantines();
+    ASSERT_EQ(late.size(), 1U);
+    this->time.advance(100ms);
+    ASSERT_TRUE(this->first.quarantines().empty());
+    this->first.adopt(late);
+    EXPECT_FALSE(this->first.is_quarantined({70, {common_segment}}));
+    // A process that did not know of it counts what was left from before the other sent it.
+    this->second.adopt(late, this->time.now() - 100ms);
+    EXPECT_FALSE(this->second.is_quarantined({70, {common_segment}}));
+}
+
+// Guards against a quarantine that was lifted and comes back with a process that was out of touch at that time.
+TEST_F(crash_quarantine_test, an_old_copy_of_a_lifted_quarantine_is_lifted_as_well) {
+    this->time.advance(1h);
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        this->crash(this->first, i, run_of(i, {common_segment}));
+    }
+    ASSERT_TRUE(this->first.decide(0ms));
+    this->second.adopt(this->first.quarantines());
+    this->time.advance(1s);
+    this->first.record_response({71, {common_segment}});
+    this->time.advance(config::crash_report_time + 1s);
+    EXPECT_FALSE(this->first.evidence()) << "the others have received it long ago";
+    this->first.adopt(this->second.quarantines());
+    EXPECT_FALSE(this->first.is_quarantined({70, {common_segment}}));
+    const auto evidence = this->first.evidence();
+    ASSERT_TRUE(evidence);
+    this->second.merge(*evidence);
+    EXPECT_FALSE(this->second.is_quarantined({70, {common_segment}}));
+}
+
 // Guards against evidence that never arrives because its datagram is too long, or that omits the run to blame.
 TEST_F(crash_quarantine_test, evidence_of_many_long_prompts_fits_into_a_datagram) {
     constexpr std::size_t max_bytes = 4096; // half of the receive buffer; the other half is for load and limits
