A cold time that was read here is not prolonged by the reports of others

Cause: a report counts from its arrival, so that its end lies later by the delay of the message. An entry that had read the time itself took that end over and reported it as its own; the other did the same.

Change: what an entry has read goes before reports while it is in force, and what comes from reports is not reported.

Evidence: cold_entries_test.handing_on_does_not_prolong_the_cold_time failed before and passes now, as do the other tests of cold endpoints.

--- a/src/direct/endpoint_statements.cpp
+++ b/src/direct/endpoint_statements.cpp
@@ -182,8 +182,11 @@
     for (const reported_cold& each : *reported) {
         stated_times& known = this->availabilities[each.incarnation];
         const steady_time until = now + std::chrono::milliseconds{each.left_ms};
-        if (until > known.cold_until) {
-            known.is_cold_reported = known.cold_until <= now || known.is_cold_reported;
+        // A message arrives later than it was sent. What this process has read itself goes before, and is passed on as
+        // it was read.
+        const bool is_read_here = known.cold_until > now && !known.is_cold_reported;
+        if (!is_read_here && until > known.cold_until) {
+            known.is_cold_reported = true;
             known.cold_until = until;
         }
     }
--- a/tests/direct/cold_endpoint_test.cpp
+++ b/tests/direct/cold_endpoint_test.cpp
@@ -140,6 +140,32 @@
     EXPECT_EQ(first.statements.count_cold(), 0U);
 }
 
+// Guards against a cold time that never ends: two entries that have both read it exchange it, and each message takes
+// time.
+TEST(cold_entries_test, handing_on_does_not_prolong_the_cold_time) {
+    manual_clock time;
+    time.advance(1h);
+    structured_log log = make_null_log();
+    endpoint_statements first{time, log};
+    endpoint_statements second{time, log};
+    const endpoint_record endpoint = record("a");
+    constexpr std::chrono::milliseconds cold_time{2000};
+    constexpr std::chrono::milliseconds delay{100}; // of each message
+    for (endpoint_statements* each : {&first, &second}) {
+        each->record_cold(endpoint, cold_time);
+    }
+    const steady_time end = time.now() + cold_time;
+    while (time.now() < end + delay) {
+        const auto to_second = first.report_cold();
+        const auto to_first = second.report_cold();
+        time.advance(delay);
+        second.merge_cold(to_second);
+        first.merge_cold(to_first);
+    }
+    EXPECT_EQ(first.count_cold(), 0U);
+    EXPECT_EQ(second.count_cold(), 0U);
+}
+
 // Guards against a field of a response that is not read, not signed, or not a number.
 TEST(cold_forwarding_test, a_response_states_that_the_endpoint_is_cold) {
     scripted_endpoint endpoint{[](const std::string& request, std::size_t number) {
