--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -1,5 +1,7 @@
 #include "support/child_process.h"
 
+#include "support/program_logs.h"
+
 #include <array>
 #include <csignal>
 #include <stdexcept>
@@ -30,6 +32,7 @@
 
 child_process::child_process(const std::string& program, const std::vector<std::string>& arguments,
                              const std::string& error_file) {
+    add_program_log(error_file);
     std::array<int, 2> ends{};
     if (pipe2(ends.data(), O_CLOEXEC) != 0) {
         throw std::runtime_error("no pipe for " + program);
