--- a/src/direct/endpoint_view.cpp
+++ b/src/direct/known_endpoints.cpp
@@ -1,4 +1,4 @@
-#include "direct/endpoint_view.h"
+#include "direct/known_endpoints.h"
 
 #include <pomelohoist/config.h>
 
@@ -34,11 +34,11 @@
 
 } // namespace
 
-bool endpoint_view::is_listed(const endpoint_incarnation& incarnation) const {
+bool known_endpoints::is_listed(const endpoint_incarnation& incarnation) const {
     return this->listed && lists(*this->listed, incarnation);
 }
 
-bool endpoint_view::read(endpoint_list next, missing_endpoints missing, steady_time now) {
+bool known_endpoints::read(endpoint_list next, missing_endpoints missing, steady_time now) {
     if (this->listed && next.revision <= this->confirmed) {
         return false;
     }
@@ -61,7 +61,7 @@
     return true;
 }
 
-bool endpoint_view::merge(const endpoint_reading& reported, steady_time asked_at, steady_time now) {
+bool known_endpoints::merge(const endpoint_reading& reported, steady_time asked_at, steady_time now) {
     if (this->listed && reported.listed.revision <= this->confirmed) {
         return false;
     }
@@ -85,7 +85,7 @@
     return true;
 }
 
-void endpoint_view::replace(endpoint_list next, kept_endpoints still_kept, steady_time now) {
+void known_endpoints::replace(endpoint_list next, kept_endpoints still_kept, steady_time now) {
     std::erase_if(still_kept, [&next](const auto& each) { return is_replaced(each.second.endpoint, next); });
     this->kept = std::move(still_kept);
     this->confirmed = next.revision;
@@ -93,7 +93,7 @@
     this->refresh(now);
 }
 
-bool endpoint_view::adopt_confirmed_revision() {
+bool known_endpoints::adopt_confirmed_revision() {
     if (!this->listed || this->listed->revision == this->confirmed) {
         return false;
     }
@@ -102,7 +102,7 @@
     return true;
 }
 
-bool endpoint_view::apply_due_changes(steady_time now) {
+bool known_endpoints::apply_due_changes(steady_time now) {
     const std::size_t kept_before = this->kept.size();
     std::erase_if(this->kept, [now](const auto& each) { return each.second.until <= now; });
     if (this->kept.size() == kept_before && this->is_holding == this->departures.is_holding(now)) {
@@ -113,7 +113,7 @@
     return this->in_use.endpoints != before;
 }
 
-void endpoint_view::refresh(steady_time now) {
+void known_endpoints::refresh(steady_time now) {
     if (!this->listed) {
         return;
     }
@@ -136,7 +136,7 @@
     this->in_use = std::move(next);
 }
 
-endpoint_reading endpoint_view::report(steady_time now) const {
+endpoint_reading known_endpoints::report(steady_time now) const {
     endpoint_reading reported{*this->listed};
     for (const auto& [incarnation, each] : this->kept) {
         if (now < each.until) {
--- a/src/direct/endpoint_view.h
+++ b/src/direct/known_endpoints.h
@@ -23,7 +23,7 @@
 
 /// Holds the newest reading, by this process or by another. A list is as new as the reading that it comes from: what a
 /// process still knows of an older one does not become newer when that process reads again. Not thread-safe.
-class endpoint_view {
+class known_endpoints {
   public:
     /// Uses a reading by this process. One that lists the same endpoints as the newest only confirms that.
     /// @returns false when a newer reading, or this one, is known already
--- a/src/direct/routing_state.h
+++ b/src/direct/routing_state.h
@@ -2,8 +2,8 @@
 
 #include "common/log.h"
 #include "direct/endpoint_reading.h"
-#include "direct/endpoint_view.h"
 #include "direct/evacuation_list.h"
+#include "direct/known_endpoints.h"
 #include "direct/routing_table.h"
 
 #include <pomelohoist/clock.h>
@@ -56,11 +56,11 @@
     [[nodiscard]] routing_snapshot current() const;
     /// @returns false when the same or a newer version is already in use
     bool apply_routing(routing_content content);
-    /// Uses a reading of the store by this process; see `endpoint_view::read`. A list of a new era of the store comes
+    /// Uses a reading of the store by this process; see `known_endpoints::read`. A list of a new era of the store comes
     /// from an older copy: endpoints that had left before are not used again.
     /// @returns false when the same or a newer reading is already in use
     bool apply_endpoints(endpoint_list list, missing_endpoints missing = missing_endpoints::removed);
-    /// Uses what another process has sent; see `endpoint_view::merge`.
+    /// Uses what another process has sent; see `known_endpoints::merge`.
     /// @param asked_at time before the other process sent it
     /// @returns false when the same or a newer reading is already in use
     bool merge_endpoints(const endpoint_reading& reported, steady_time asked_at);
@@ -111,7 +111,7 @@
     mutable std::mutex mutex;
     routing_snapshot content;
     std::optional<std::uint64_t> store_era;
-    endpoint_view endpoints;
+    known_endpoints endpoints;
     std::uint64_t confirmed_evacuations{0}; ///< revision of the newest list with the content of the list in use
     std::optional<steady_time> store_read_at;
 };
--- a/tests/direct/endpoint_view_test.cpp
+++ b/tests/direct/known_endpoints_test.cpp
@@ -1,4 +1,4 @@
-#include "direct/endpoint_view.h"
+#include "direct/known_endpoints.h"
 
 #include "common/log.h"
 #include "common/random_source.h"
@@ -31,7 +31,7 @@
     return list;
 }
 
-std::vector<std::string> used(const endpoint_view& view) {
+std::vector<std::string> used(const known_endpoints& view) {
     std::vector<std::string> instances;
     for (const endpoint_record& record : view.used().endpoints) {
         instances.push_back(record.instance);
@@ -45,11 +45,11 @@
 
 // Guards against an endpoint that returns to a process that had dropped it: another process, which could not read the
 // store for a while, keeps it and sends it with a newer reading.
-TEST(endpoint_view_test, a_kept_endpoint_does_not_return_to_a_process_that_knows_better) {
+TEST(known_endpoints_test, a_kept_endpoint_does_not_return_to_a_process_that_knows_better) {
     const steady_time now{1h};
-    endpoint_view informed;
-    endpoint_view late;
-    for (endpoint_view* view : {&informed, &late}) {
+    known_endpoints informed;
+    known_endpoints late;
+    for (known_endpoints* view : {&informed, &late}) {
         ASSERT_TRUE(view->read(list_at(8, {"left", "stays"}), missing_endpoints::removed, now));
     }
     ASSERT_TRUE(informed.read(list_at(10, {"stays"}), missing_endpoints::removed, now));
@@ -62,9 +62,9 @@
 }
 
 // Guards against keeping endpoints of an own old list that are missing in a newer one from another process.
-TEST(endpoint_view_test, only_endpoints_of_the_newest_reading_are_kept) {
+TEST(known_endpoints_test, only_endpoints_of_the_newest_reading_are_kept) {
     const steady_time now{1h};
-    endpoint_view view;
+    known_endpoints view;
     ASSERT_TRUE(view.read(list_at(8, {"left", "stays"}), missing_endpoints::removed, now));
     ASSERT_TRUE(view.merge({list_at(10, {"stays"})}, now, now));
     ASSERT_TRUE(view.read(list_at(12, {}), missing_endpoints::kept, now));
@@ -72,21 +72,21 @@
 }
 
 // Guards against removing what may only have lapsed at a process that learns it from the one that reads.
-TEST(endpoint_view_test, a_process_without_a_newer_reading_keeps_what_the_reader_keeps) {
+TEST(known_endpoints_test, a_process_without_a_newer_reading_keeps_what_the_reader_keeps) {
     const steady_time now{1h};
-    endpoint_view reader;
-    endpoint_view other;
-    for (endpoint_view* view : {&reader, &other}) {
+    known_endpoints reader;
+    known_endpoints other;
+    for (known_endpoints* view : {&reader, &other}) {
         ASSERT_TRUE(view->read(list_at(8, {"a", "b"}), missing_endpoints::removed, now));
     }
     ASSERT_TRUE(reader.read(list_at(11, {}), missing_endpoints::kept, now));
     ASSERT_TRUE(other.merge(reader.report(now), now, now));
     EXPECT_EQ(used(other), (instances{"a", "b"}));
     // A process that starts now uses them too.
-    endpoint_view started;
+    known_endpoints started;
     ASSERT_TRUE(started.merge(other.report(now), now, now));
     EXPECT_EQ(used(started), (instances{"a", "b"}));
-    for (endpoint_view* view : {&reader, &other, &started}) {
+    for (known_endpoints* view : {&reader, &other, &started}) {
         EXPECT_FALSE(view->apply_due_changes(now + return_time - 1ms));
         EXPECT_TRUE(view->apply_due_changes(now + return_time));
         EXPECT_TRUE(used(*view).empty());
@@ -94,11 +94,11 @@
 }
 
 // Guards against a time that starts again with each reader, or with each message.
-TEST(endpoint_view_test, handing_on_does_not_prolong_the_time_for_which_an_endpoint_is_kept) {
+TEST(known_endpoints_test, handing_on_does_not_prolong_the_time_for_which_an_endpoint_is_kept) {
     const steady_time begin{1h};
-    endpoint_view first;
-    endpoint_view second;
-    for (endpoint_view* view : {&first, &second}) {
+    known_endpoints first;
+    known_endpoints second;
+    for (known_endpoints* view : {&first, &second}) {
         ASSERT_TRUE(view->read(list_at(8, {"a"}), missing_endpoints::removed, begin));
     }
     ASSERT_TRUE(first.read(list_at(9, {}), missing_endpoints::kept, begin));
@@ -113,7 +113,7 @@
         now += 100ms;
         ASSERT_TRUE(first.read(list_at(revision + 1, {}), missing_endpoints::kept, now));
     }
-    for (endpoint_view* view : {&first, &second}) {
+    for (known_endpoints* view : {&first, &second}) {
         view->apply_due_changes(begin + return_time);
         const instances left = used(*view);
         EXPECT_EQ(std::count(left.begin(), left.end(), "a"), 0);
@@ -122,9 +122,9 @@
 
 // Guards against a list that the reader has not spread before it lost touch, and that a newer reading has shown to be
 // old: its revision is higher than that of the list in use, which no change has replaced since.
-TEST(endpoint_view_test, a_list_that_is_older_than_a_confirming_reading_is_refused) {
+TEST(known_endpoints_test, a_list_that_is_older_than_a_confirming_reading_is_refused) {
     const steady_time now{1h};
-    endpoint_view view;
+    known_endpoints view;
     ASSERT_TRUE(view.read(list_at(20, {"a"}), missing_endpoints::removed, now));
     ASSERT_TRUE(view.read(list_at(30, {"a"}), missing_endpoints::removed, now));
     EXPECT_EQ(view.used().revision, 20U) << "the other processes need not fetch it again";
@@ -138,31 +138,31 @@
 }
 
 // Guards against using an address under its old registration while a new one for it is listed.
-TEST(endpoint_view_test, a_new_registration_replaces_a_kept_one) {
+TEST(known_endpoints_test, a_new_registration_replaces_a_kept_one) {
     const steady_time now{1h};
-    endpoint_view view;
+    known_endpoints view;
     ASSERT_TRUE(view.read({8, {endpoint("a", 80, 1), endpoint("b", 81, 1)}}, missing_endpoints::removed, now));
     ASSERT_TRUE(view.read({9, {endpoint("a", 90, 2), endpoint("c", 81, 2)}}, missing_endpoints::kept, now));
     EXPECT_EQ(view.used().endpoints, (std::vector<endpoint_record>{endpoint("a", 90, 2), endpoint("c", 81, 2)}));
 }
 
 // Guards against a process that receives, with a list, what its sender leaves out for a while only, and never uses it.
-TEST(endpoint_view_test, a_hold_is_passed_on_with_its_end) {
+TEST(known_endpoints_test, a_hold_is_passed_on_with_its_end) {
     const steady_time now{1h};
-    endpoint_view informed;
+    known_endpoints informed;
     ASSERT_TRUE(informed.read(list_at(8, {"a", "b"}), missing_endpoints::removed, now));
     ASSERT_TRUE(informed.read(list_at(9, {"b"}), missing_endpoints::removed, now));
     informed.begin_hold(now + 1s, now + 6s);
     ASSERT_TRUE(informed.read(list_at(100, {"a", "b"}), missing_endpoints::removed, now + 1s));
     EXPECT_EQ(used(informed), (instances{"b"}));
-    endpoint_view started;
+    known_endpoints started;
     ASSERT_TRUE(started.merge(informed.report(now + 2s), now + 2s, now + 3s));
     EXPECT_EQ(used(started), (instances{"b"}));
     // A process that receives it from there does not hold it longer.
-    endpoint_view last;
+    known_endpoints last;
     ASSERT_TRUE(last.merge(started.report(now + 4s), now + 4s, now + 5s));
     EXPECT_EQ(used(last), (instances{"b"}));
-    for (endpoint_view* view : {&informed, &started, &last}) {
+    for (known_endpoints* view : {&informed, &started, &last}) {
         EXPECT_FALSE(view->apply_due_changes(now + 6s - 1ms));
         EXPECT_TRUE(view->apply_due_changes(now + 6s));
         EXPECT_EQ(used(*view), (instances{"a", "b"}));
@@ -171,7 +171,7 @@
 
 // Guards against a hold that begins when a process learns of a restore long after it, from a process that knows when
 // the hold ends.
-TEST(endpoint_view_test, a_process_that_learns_of_a_restore_late_holds_no_longer_than_the_others) {
+TEST(known_endpoints_test, a_process_that_learns_of_a_restore_late_holds_no_longer_than_the_others) {
     manual_clock time;
     time.advance(1h);
     structured_log log{make_null_log()};
@@ -219,7 +219,7 @@
 
   private:
     struct process {
-        endpoint_view view;
+        known_endpoints view;
         bool is_stopped{false};
         bool reaches_store{true};
         steady_time failed_at{};
@@ -352,7 +352,7 @@
 
 // Guards against an endpoint that comes back to a process that knows it has left, or that stays longer than a lapsed
 // registration needs, whichever way processes lost touch and came back.
-TEST(endpoint_view_test, no_old_copy_brings_an_endpoint_back) {
+TEST(known_endpoints_test, no_old_copy_brings_an_endpoint_back) {
     for (std::uint64_t seed = 1; seed <= 200 && !HasFailure(); ++seed) {
         SCOPED_TRACE("seed " + std::to_string(seed));
         old_copy_simulation{seed}.run();
