Join the scripted endpoint's acceptor before its connections

Change: the acceptor is a member of its own, and is joined first. Only it adds to the threads of the connections, so that nobody changes them any more when they are joined, and neither needs a lock. Joining them under the endpoint's lock would block, since they take it to note a request.

--- a/tests/support/scripted_endpoint.cpp
+++ b/tests/support/scripted_endpoint.cpp
@@ -53,20 +53,15 @@
     if (receive_buffer_bytes != 0) {
         this->listener.setReceiveBufferSize(receive_buffer_bytes);
     }
-    this->threads.emplace_back([this] { this->accept_loop(); });
+    this->acceptor = std::thread{[this] { this->accept_loop(); }};
 }
 
 scripted_endpoint::~scripted_endpoint() {
     this->stopping = true;
-    this->threads.front().join();
-    const std::vector<std::thread> all_threads = [this] {
-        const std::lock_guard lock{this->mutex};
-        std::vector<std::thread> moved;
-        moved.swap(this->threads);
-        return moved;
-    }();
-    for (std::size_t i = 1; i < all_threads.size(); ++i) {
-        const_cast<std::thread&>(all_threads[i]).join();
+    this->acceptor.join();
+    // The accept loop has ended, so no thread is added any more.
+    for (std::thread& connection : this->connection_threads) {
+        connection.join();
     }
 }
 
@@ -86,8 +81,7 @@
         }
         Poco::Net::StreamSocket socket = this->listener.acceptConnection();
         ++this->accepted;
-        const std::lock_guard lock{this->mutex};
-        this->threads.emplace_back([this, socket] { this->serve_connection(socket); });
+        this->connection_threads.emplace_back([this, socket] { this->serve_connection(socket); });
     }
     this->listener.close();
     this->is_closed = true;
--- a/tests/support/scripted_endpoint.h
+++ b/tests/support/scripted_endpoint.h
@@ -73,7 +73,8 @@
     std::atomic<std::size_t> endless_sent{0};
     mutable std::mutex mutex;
     std::vector<std::string> received_requests;
-    std::vector<std::thread> threads;
+    std::vector<std::thread> connection_threads; ///< used by `acceptor` until it has ended
+    std::thread acceptor;
 };
 
 /// @returns a response to the request with Content-Length and the fields that an endpoint of the platform sends
