A kept endpoint keeps the newest state that a process knows of it

What callers saw: in a test only. A process that keeps an endpoint had not read yet that it leaves; one that had read it took over the older record and sent requests to an endpoint that leaves.

Cause: known_endpoints::merge took the sender's record although its own came from a newer reading.

Change: of the two records the one from the newer reading counts, and its reading is passed on with it.

--- a/src/direct/known_endpoints.cpp
+++ b/src/direct/known_endpoints.cpp
@@ -14,11 +14,6 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 0));
 }
 
-bool lists(const endpoint_list& list, const endpoint_incarnation& incarnation) {
-    return std::any_of(list.endpoints.begin(), list.endpoints.end(),
-                       [&incarnation](const auto& record) { return incarnation_of(record) == incarnation; });
-}
-
 /// @returns true when the list has the instance, or a later start at the same address
 bool is_replaced(const endpoint_record& record, const endpoint_list& list) {
     return std::any_of(list.endpoints.begin(), list.endpoints.end(), [&record](const endpoint_record& other) {
@@ -34,8 +29,15 @@
 
 } // namespace
 
-bool known_endpoints::is_listed(const endpoint_incarnation& incarnation) const {
-    return this->listed && lists(*this->listed, incarnation);
+std::optional<known_endpoints::kept_state> known_endpoints::find(const endpoint_incarnation& incarnation) const {
+    if (const auto own = this->kept.find(incarnation); own != this->kept.end()) {
+        return own->second;
+    }
+    const auto found = std::find_if(this->listed->endpoints.begin(), this->listed->endpoints.end(),
+                                    [&](const auto& record) { return incarnation_of(record) == incarnation; });
+    return found != this->listed->endpoints.end()
+               ? std::optional{kept_state{*found, this->confirmed, steady_time::max()}}
+               : std::nullopt;
 }
 
 bool known_endpoints::read(endpoint_list next, missing_endpoints missing, steady_time now) {
@@ -72,14 +74,20 @@
     kept_endpoints still_kept;
     for (const kept_endpoint& each : reported.kept) {
         const endpoint_incarnation incarnation = incarnation_of(each.endpoint);
-        const auto own = this->kept.find(incarnation);
-        const bool is_missing = this->listed && own == this->kept.end() && !this->is_listed(incarnation);
-        if (is_missing && this->confirmed > each.listed_at) {
-            continue;
+        kept_state next{each.endpoint, each.listed_at, asked_at + std::chrono::milliseconds{each.left_ms}};
+        if (this->listed) {
+            const std::optional<kept_state> own = this->find(incarnation);
+            if (!own && this->confirmed > next.listed_at) {
+                continue;
+            }
+            if (own && own->listed_at > next.listed_at) {
+                // The endpoint may have stated since that it leaves.
+                next.endpoint = own->endpoint;
+                next.listed_at = own->listed_at;
+            }
+            next.until = own ? std::min(own->until, next.until) : next.until;
         }
-        const steady_time until = asked_at + std::chrono::milliseconds{each.left_ms};
-        still_kept[incarnation] = {each.endpoint, each.listed_at,
-                                   own != this->kept.end() ? std::min(own->second.until, until) : until};
+        still_kept[incarnation] = next;
     }
     this->replace(reported.listed, std::move(still_kept), now);
     return true;
--- a/src/direct/known_endpoints.h
+++ b/src/direct/known_endpoints.h
@@ -65,7 +65,9 @@
     };
     using kept_endpoints = std::map<endpoint_incarnation, kept_state>;
 
-    [[nodiscard]] bool is_listed(const endpoint_incarnation& incarnation) const;
+    /// Requires a reading.
+    /// @returns what this process knows of an endpoint that it lists or keeps
+    [[nodiscard]] std::optional<kept_state> find(const endpoint_incarnation& incarnation) const;
     void replace(endpoint_list next, kept_endpoints still_kept, steady_time now);
     /// Recalculates the endpoints in use.
     void refresh(steady_time now);
--- a/tests/direct/known_endpoints_test.cpp
+++ b/tests/direct/known_endpoints_test.cpp
@@ -61,6 +61,26 @@
     EXPECT_TRUE(informed.report(now).kept.empty());
 }
 
+// Guards against requests to an endpoint that leaves: a process that keeps it had not read yet that it does.
+TEST(known_endpoints_test, a_kept_endpoint_keeps_its_newest_state) {
+    const steady_time now{1h};
+    known_endpoints informed;
+    known_endpoints late;
+    for (known_endpoints* known : {&informed, &late}) {
+        ASSERT_TRUE(known->read(list_at(8, {"a"}), missing_endpoints::removed, now));
+    }
+    endpoint_record leaving = endpoint("a");
+    leaving.is_leaving = true;
+    ASSERT_TRUE(informed.read({10, {leaving}}, missing_endpoints::removed, now));
+    ASSERT_TRUE(late.read(list_at(11, {}), missing_endpoints::kept, now));
+    ASSERT_TRUE(informed.merge(late.report(now), now, now));
+    EXPECT_EQ(informed.used().endpoints, (std::vector<endpoint_record>{leaving}));
+    // Nor does its own old state return while it is kept.
+    ASSERT_TRUE(late.read(list_at(13, {"b"}), missing_endpoints::kept, now));
+    ASSERT_TRUE(informed.merge(late.report(now), now, now));
+    EXPECT_TRUE(informed.used().endpoints.front().is_leaving);
+}
+
 // Guards against keeping endpoints of an own old list that are missing in a newer one from another process.
 TEST(known_endpoints_test, only_endpoints_of_the_newest_reading_are_kept) {
     const steady_time now{1h};
