A longer quarantine is adopted once the own one has ended

What callers saw: in a test only. Entries that decided a quarantine with different evidence hold it for one minute or for ten. Since 'A quarantine that has ended or was lifted does not come back from a peer', the entry with the shorter one let such requests run again, and pulled from the others with each update.

Cause: every quarantine that began before the known one ended counted as the same one.

Change: one that ends later than the known one is adopted. What comes back from a process that adopted it here ends no later, since an adopted quarantine counts from before it was asked for.

Evidence: crash_quarantine_test.a_longer_quarantine_is_adopted_when_the_own_one_has_ended failed before and passes now. an_old_copy_of_an_ended_quarantine_is_not_adopted exchanged a report without the time at which it was asked for; it now does so both ways, as pulls do.

--- a/src/direct/crash_quarantine.cpp
+++ b/src/direct/crash_quarantine.cpp
@@ -325,9 +325,10 @@
             this->own_responses[other.trait] = now;
             continue;
         }
-        // The same quarantine ends a little later in a process that received it later. It must not begin again here.
+        // A quarantine that has ended here must not begin again because it is still in a message.
         const auto known = this->known_quarantines.find(other.trait);
-        const bool is_known = known != this->known_quarantines.end() && held.since < known->second.until;
+        const bool is_known =
+            known != this->known_quarantines.end() && (now < known->second.until || held.until <= known->second.until);
         if (is_known || held.until <= now || this->known_quarantines.size() >= config::max_quarantines) {
             continue;
         }
--- a/tests/direct/crash_analysis_test.cpp
+++ b/tests/direct/crash_analysis_test.cpp
@@ -251,26 +251,46 @@
     EXPECT_FALSE(this->first.is_quarantined({70, {common_segment}}));
 }
 
-// Guards against a quarantine that never ends, since processes in which it ends some milliseconds later send it back.
+// Guards against a quarantine that never ends, since processes send it back to each other and each message takes time.
 TEST_F(crash_quarantine_test, an_old_copy_of_an_ended_quarantine_is_not_adopted) {
     this->time.advance(1h);
     for (std::uint64_t i = 0; i < 3; ++i) {
         this->crash(this->first, i, run_of(i, {common_segment}));
     }
     ASSERT_TRUE(this->first.decide(0ms));
-    const std::uint32_t left = this->first.quarantines().front().left_ms;
-    this->time.advance(std::chrono::milliseconds{left} - 10ms);
-    const std::vector<inner::reported_quarantine> late = this->first.quarantines();
-    ASSERT_EQ(late.size(), 1U);
+    const std::chrono::milliseconds left{this->first.quarantines().front().left_ms};
+    steady_time asked_at = this->time.now();
+    std::vector<inner::reported_quarantine> answer = this->first.quarantines();
     this->time.advance(100ms);
-    ASSERT_TRUE(this->first.quarantines().empty());
-    this->first.adopt(late);
+    this->second.adopt(answer, asked_at);
+    this->time.advance(left - 110ms);
+    // Both ask shortly before the end, and get the responses after it.
+    asked_at = this->time.now();
+    const std::vector<inner::reported_quarantine> to_first = this->second.quarantines();
+    const std::vector<inner::reported_quarantine> to_second = this->first.quarantines();
+    ASSERT_EQ(to_second.size(), 1U);
+    this->time.advance(100ms);
+    this->first.adopt(to_first, asked_at);
+    this->second.adopt(to_second, asked_at);
     EXPECT_FALSE(this->first.is_quarantined({70, {common_segment}}));
-    // A process that did not know of it counts what was left from before the other sent it.
-    this->second.adopt(late, this->time.now() - 100ms);
     EXPECT_FALSE(this->second.is_quarantined({70, {common_segment}}));
 }
 
+// Guards against an entry that lets requests run which others still refuse, since its own quarantine of them was
+// shorter.
+TEST_F(crash_quarantine_test, a_longer_quarantine_is_adopted_when_the_own_one_has_ended) {
+    this->time.advance(1h);
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        this->crash(this->first, i, run_of(i, {common_segment}));
+    }
+    ASSERT_TRUE(this->first.decide(0ms));
+    const inner::reported_quarantine own = this->first.quarantines().front();
+    this->time.advance(std::chrono::milliseconds{own.left_ms});
+    ASSERT_FALSE(this->first.is_quarantined({70, {common_segment}}));
+    this->first.adopt({{own.trait, own.age_ms + own.left_ms, 60000}});
+    EXPECT_TRUE(this->first.is_quarantined({70, {common_segment}}));
+}
+
 // Guards against a quarantine that was lifted and comes back with a process that was out of touch at that time.
 TEST_F(crash_quarantine_test, an_old_copy_of_a_lifted_quarantine_is_lifted_as_well) {
     this->time.advance(1h);
