--- a/src/direct/routing_state.h
+++ b/src/direct/routing_state.h
@@ -101,7 +101,7 @@
         std::size_t departed{0};
     };
 
-    /// Uses the endpoints of the view in new snapshots; requires the mutex.
+    /// Uses the known endpoints in new snapshots; requires the mutex.
     published_endpoints publish_endpoints();
     void log_endpoints(const published_endpoints& published);
     void log_evacuations(const evacuation_list& previous, const evacuation_list& next);
